--- /dev/null
+++ b/crates/core/src/cell.rs
@@ -0,0 +1,495 @@
+//! The scheduler of one cell: exact counts, one fair queue; see `docs/design/placement.md`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jacinthlever_types::{
+    Allocation, EngineFault, EngineId, EngineRole, HoldEnd, HoldOutcome, HoldRequest, InstanceId,
+    RequestId,
+};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{EngineState, FairQueue, LogEvent, fault_text};
+
+new_key_type! {
+    /// Key of a hold in its cell.
+    pub struct HoldKey;
+}
+
+/// Tokens in one page of an engine's KV memory.
+pub const PAGE_TOKENS: u64 = 4_096;
+
+/// Time from the end of a prefill to the first token, until it was measured.
+const DEFAULT_HANDOVER: Duration = Duration::from_millis(60);
+
+/// Time that a decode holds its slot, until it was measured.
+const DEFAULT_DECODE: Duration = Duration::from_secs(5);
+
+/// Extra cost of a transfer between availability zones.
+const ZONE_PENALTY: Duration = Duration::from_millis(5);
+
+/// Weight of a new measurement in a moving average.
+const AVERAGE_WEIGHT: f64 = 0.05;
+
+/// How far a granted request has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Queued,
+    Prefill,
+    Decode,
+}
+
+#[derive(Debug)]
+struct Hold {
+    request: HoldRequest,
+    from: InstanceId,
+    phase: Phase,
+    /// When the first token is due.
+    due: Duration,
+    granted: Duration,
+    prefill: EngineId,
+    decode: EngineId,
+    /// Expected duration of the prefill.
+    prefill_time: Duration,
+}
+
+/// Outcome of a hold that its instance must be told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    /// Instance of the request.
+    pub to: InstanceId,
+    /// The request.
+    pub id: RequestId,
+    /// Its attempt.
+    pub attempt: u32,
+    /// What to tell.
+    pub outcome: HoldOutcome,
+}
+
+/// Engines, queue and holds of one cell.
+#[derive(Debug, Default)]
+pub struct Cell {
+    engines: BTreeMap<EngineId, EngineState>,
+    holds: SlotMap<HoldKey, Hold>,
+    by_id: BTreeMap<RequestId, HoldKey>,
+    queue: FairQueue<HoldKey>,
+    /// Moving average of the time that a decode holds its slot, in seconds.
+    decode_seconds: Option<f64>,
+    /// Moving average of the time that a prefill takes, in seconds.
+    prefill_seconds: Option<f64>,
+    told: Vec<Told>,
+    logged: Vec<LogEvent>,
+}
+
+impl Cell {
+    /// Returns the engines.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineState> {
+        self.engines.values()
+    }
+
+    /// Returns an engine.
+    pub fn engine_mut(&mut self, id: &EngineId) -> Option<&mut EngineState> {
+        self.engines.get_mut(id)
+    }
+
+    /// Adds an engine or updates what the platform's list says of it.
+    pub fn list_engine(&mut self, listed: EngineState) {
+        match self.engines.get_mut(&listed.id) {
+            Some(known) if known.address == listed.address && known.role == listed.role => {
+                known.state = listed.state;
+            }
+            _ => {
+                self.engines.insert(listed.id.clone(), listed);
+            }
+        }
+    }
+
+    /// Forgets the engines for which `keep` does not hold.
+    pub fn retain_engines(&mut self, keep: impl Fn(&EngineId) -> bool) {
+        self.engines.retain(|id, _| keep(id));
+    }
+
+    /// Returns what instances must be told since the last call.
+    pub fn take_told(&mut self) -> Vec<Told> {
+        std::mem::take(&mut self.told)
+    }
+
+    /// Returns what must be logged since the last call.
+    pub fn take_logged(&mut self) -> Vec<LogEvent> {
+        std::mem::take(&mut self.logged)
+    }
+
+    /// Returns the waiting requests for each healthy decode slot, in percent.
+    pub fn pressure(&self, now: Duration) -> u32 {
+        let slots = self.decode_slots(now).max(1) as usize;
+        let held = self.holds.len();
+        (held * 100 / slots) as u32
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes in a request for engines; the same request may come again.
+    pub fn ask(&mut self, from: InstanceId, request: HoldRequest, now: Duration) {
+        if let Some(key) = self.by_id.get(&request.id).copied() {
+            if self.holds[key].request.attempt >= request.attempt {
+                return self.repeat_answer(key);
+            }
+            self.remove(key);
+        }
+        let due = now + Duration::from_millis(u64::from(request.due_ms));
+        if let Some(retry_after_ms) = self.refusal(&request, due, now) {
+            let outcome = HoldOutcome::Refused { retry_after_ms };
+            let (id, attempt) = (request.id, request.attempt);
+            return self.told.push(Told {
+                to: from,
+                id,
+                attempt,
+                outcome,
+            });
+        }
+        self.enqueue(from, request, due, now);
+        self.pump(now);
+    }
+
+    /// Takes in that the prefill of a hold is done.
+    pub fn prefilled(&mut self, id: &RequestId, cached_tokens: u32, took: Duration, now: Duration) {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return;
+        };
+        let hold = &mut self.holds[key];
+        if hold.phase != Phase::Prefill {
+            return;
+        }
+        hold.phase = Phase::Decode;
+        let fresh = hold
+            .request
+            .prompt_tokens
+            .saturating_sub(u64::from(cached_tokens));
+        average(&mut self.prefill_seconds, took.as_secs_f64());
+        if let Some(engine) = self.engines.get_mut(&hold.prefill) {
+            engine.release(key);
+            engine.measure_prefill(fresh as f64, took);
+            engine
+                .cache
+                .correct(&hold.request.prefix, u64::from(cached_tokens), now);
+            if engine.succeed(now) {
+                self.logged.push(LogEvent::EngineRecovered {
+                    engine: engine.id.clone(),
+                });
+            }
+        }
+        self.pump(now);
+    }
+
+    /// Takes in that the decode of a hold gives tokens.
+    pub fn decoding(&mut self, id: &RequestId, now: Duration) {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(&self.holds[key].decode) else {
+            return;
+        };
+        engine.cleared(key);
+        if engine.succeed(now) {
+            self.logged.push(LogEvent::EngineRecovered {
+                engine: engine.id.clone(),
+            });
+        }
+        self.pump(now);
+    }
+
+    /// Ends a hold.
+    pub fn release(&mut self, id: &RequestId, end: HoldEnd, unused_tokens: u64, now: Duration) {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return;
+        };
+        let hold = &self.holds[key];
+        match end {
+            HoldEnd::Done if hold.phase == Phase::Decode => {
+                let held = now.saturating_sub(hold.granted).as_secs_f64();
+                average(&mut self.decode_seconds, held);
+            }
+            HoldEnd::Done => {}
+            HoldEnd::PrefillFailed(fault) => self.fail(&hold.prefill.clone(), fault, now),
+            HoldEnd::DecodeFailed(fault) => self.fail(&hold.decode.clone(), fault, now),
+        }
+        let customer = self.holds[key].request.customer.clone();
+        self.queue.credit(&customer, unused_tokens as f64);
+        self.remove(key);
+        self.pump(now);
+    }
+
+    /// Takes in that an engine answered a probe, or did not.
+    pub fn probed(
+        &mut self,
+        id: &EngineId,
+        load: Option<jacinthlever_types::EngineLoad>,
+        now: Duration,
+    ) {
+        match (load, self.engines.get_mut(id)) {
+            (Some(load), Some(engine)) => engine.report(load),
+            (None, Some(_)) => self.fail(&id.clone(), EngineFault::Down, now),
+            _ => {}
+        }
+        self.pump(now);
+    }
+
+    /// Drops the holds of instances that are lost.
+    pub fn forget(&mut self, is_lost: impl Fn(&RequestId) -> bool, now: Duration) {
+        let lost: Vec<HoldKey> = self
+            .holds
+            .iter()
+            .filter(|(_, hold)| is_lost(&hold.request.id))
+            .map(|(key, _)| key)
+            .collect();
+        for key in lost {
+            self.remove(key);
+        }
+        self.pump(now);
+    }
+
+    /// Refuses the requests that cannot start in time any more, and grants what fits.
+    pub fn pump(&mut self, now: Duration) {
+        self.refuse_late(now);
+        while let Some(key) = self.queue.peek() {
+            let Some((prefill, decode)) = self.place(key, now) else {
+                break;
+            };
+            self.queue.pop();
+            self.grant(key, prefill, decode, now);
+        }
+    }
+
+    fn enqueue(&mut self, from: InstanceId, request: HoldRequest, due: Duration, now: Duration) {
+        let cost = (request.prompt_tokens + request.output_tokens) as f64;
+        // A request that has lost an engine was granted its turn before.
+        let first = request.attempt > 1;
+        let (customer, weight) = (request.customer.clone(), request.weight);
+        let (class, id) = (request.class, request.id.clone());
+        let key = self.holds.insert(Hold {
+            request,
+            from,
+            phase: Phase::Queued,
+            due,
+            granted: now,
+            prefill: EngineId::default(),
+            decode: EngineId::default(),
+            prefill_time: Duration::ZERO,
+        });
+        self.by_id.insert(id, key);
+        self.queue.push(&customer, weight, class, cost, key, first);
+        self.tell(key, HoldOutcome::Queued);
+    }
+
+    fn grant(&mut self, key: HoldKey, prefill: EngineId, decode: EngineId, now: Duration) {
+        let pages = pages(&self.holds[key].request);
+        let prefill_time = self.prefill_time(&self.holds[key].request, &prefill);
+        let hold = &mut self.holds[key];
+        hold.phase = Phase::Prefill;
+        hold.granted = now;
+        hold.prefill_time = prefill_time;
+        hold.prefill = prefill;
+        hold.decode = decode;
+        let (prefill, decode) = (hold.prefill.clone(), hold.decode.clone());
+        let suspect = hold.request.suspect;
+        let prefix = hold.request.prefix.clone();
+        let (Some(p), Some(d)) = (self.engines.get(&prefill), self.engines.get(&decode)) else {
+            return;
+        };
+        let allocation = Allocation {
+            prefill: prefill.clone(),
+            prefill_address: p.address.clone(),
+            decode: decode.clone(),
+            decode_address: d.address.clone(),
+        };
+        if let Some(engine) = self.engines.get_mut(&prefill) {
+            engine.hold(key, 0, suspect);
+            engine.cache.insert(&prefix, now);
+        }
+        if let Some(engine) = self.engines.get_mut(&decode) {
+            engine.hold(key, pages, suspect);
+        }
+        self.tell(key, HoldOutcome::Granted(allocation));
+    }
+
+    /// Chooses engines, decode first; `None` if the request must wait.
+    fn place(&self, key: HoldKey, now: Duration) -> Option<(EngineId, EngineId)> {
+        let request = &self.holds[key].request;
+        let pages = pages(request);
+        let fitting = |role, pages| {
+            let all = self.engines.values();
+            all.filter(move |e| e.role == role && e.fits(pages, request.suspect, now))
+        };
+        let decode =
+            fitting(EngineRole::Decode, pages).min_by(|a, b| a.fill().total_cmp(&b.fill()))?;
+        let cost = |engine: &EngineState| {
+            let transfer = if engine.zone == decode.zone {
+                Duration::ZERO
+            } else {
+                ZONE_PENALTY
+            };
+            self.prefill_time(request, &engine.id) + transfer
+        };
+        let prefill = fitting(EngineRole::Prefill, 0).min_by_key(|engine| cost(engine))?;
+        Some((prefill.id.clone(), decode.id.clone()))
+    }
+
+    fn prefill_time(&self, request: &HoldRequest, engine: &EngineId) -> Duration {
+        let Some(engine) = self.engines.get(engine) else {
+            return Duration::ZERO;
+        };
+        let cached = engine
+            .cache
+            .cached_tokens(&request.prefix)
+            .min(request.prompt_tokens);
+        Duration::from_secs_f64((request.prompt_tokens - cached) as f64 / engine.prefill_rate)
+    }
+
+    /// Returns when to come back if the request cannot start in time.
+    fn refusal(&self, request: &HoldRequest, due: Duration, now: Duration) -> Option<u32> {
+        let slots = self.decode_slots(now);
+        if slots == 0 || !self.engines.values().any(|e| e.could_fit(pages(request))) {
+            // Engines may just not have been probed yet; the due time bounds the wait.
+            return None;
+        }
+        let per_second = self.grants_per_second(slots, now);
+        let ahead = self.queue.ahead(&request.customer, request.class);
+        let share = self.queue.share(&request.customer, request.weight);
+        let wait = if self.queue.is_empty() {
+            0.0
+        } else {
+            ahead as f64 / (share * per_second)
+        };
+        let start = now + Duration::from_secs_f64(wait.min(3_600.0));
+        let first_token = start + self.least_prefill_time(request) + DEFAULT_HANDOVER;
+        (first_token > due).then(|| ((wait * 1_000.0) as u32).max(100))
+    }
+
+    fn refuse_late(&mut self, now: Duration) {
+        let waiting = self
+            .holds
+            .iter()
+            .filter(|(_, hold)| hold.phase == Phase::Queued);
+        let late: Vec<HoldKey> = waiting
+            .filter(|(_, hold)| now + self.least_prefill_time(&hold.request) > hold.due)
+            .map(|(key, _)| key)
+            .collect();
+        for key in late {
+            let per_second = self.grants_per_second(self.decode_slots(now).max(1), now);
+            let retry_after_ms = (self.queue.len() as f64 * 1_000.0 / per_second) as u32;
+            let outcome = HoldOutcome::Refused {
+                retry_after_ms: retry_after_ms.clamp(100, 60_000),
+            };
+            self.tell(key, outcome);
+            self.remove(key);
+        }
+    }
+
+    fn least_prefill_time(&self, request: &HoldRequest) -> Duration {
+        let engines = self
+            .engines
+            .values()
+            .filter(|e| e.role == EngineRole::Prefill);
+        engines
+            .map(|e| self.prefill_time(request, &e.id))
+            .min()
+            .unwrap_or_default()
+    }
+
+    fn decode_slots(&self, now: Duration) -> u32 {
+        let engines = self
+            .engines
+            .values()
+            .filter(|e| e.role == EngineRole::Decode);
+        engines.map(|engine| engine.healthy_slots(now)).sum()
+    }
+
+    /// Returns the grants a second that slots or prefill engines allow, whichever are fewer.
+    fn grants_per_second(&self, slots: u32, now: Duration) -> f64 {
+        let decode = self
+            .decode_seconds
+            .unwrap_or(DEFAULT_DECODE.as_secs_f64())
+            .max(0.01);
+        let by_decode = f64::from(slots) / decode;
+        let engines = self
+            .engines
+            .values()
+            .filter(|e| e.role == EngineRole::Prefill);
+        let prefills: u32 = engines.map(|engine| engine.healthy_slots(now)).sum();
+        match self.prefill_seconds {
+            Some(seconds) => by_decode.min(f64::from(prefills.max(1)) / seconds.max(0.001)),
+            None => by_decode,
+        }
+    }
+
+    fn fail(&mut self, id: &EngineId, fault: EngineFault, now: Duration) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        if matches!(fault, EngineFault::Crashed | EngineFault::Down) {
+            engine.cache.clear();
+        }
+        if engine.fail(fault, now) {
+            let fault = fault_text(fault);
+            self.logged.push(LogEvent::EngineFailed {
+                engine: id.clone(),
+                fault,
+            });
+        }
+    }
+
+    fn repeat_answer(&mut self, key: HoldKey) {
+        let hold = &self.holds[key];
+        if hold.phase == Phase::Queued {
+            return self.tell(key, HoldOutcome::Queued);
+        }
+        let (prefill, decode) = (hold.prefill.clone(), hold.decode.clone());
+        let address = |id| self.engines.get(id).map(|engine| engine.address.clone());
+        if let (Some(prefill_address), Some(decode_address)) = (address(&prefill), address(&decode))
+        {
+            let allocation = Allocation {
+                prefill,
+                prefill_address,
+                decode,
+                decode_address,
+            };
+            self.tell(key, HoldOutcome::Granted(allocation));
+        }
+    }
+
+    fn remove(&mut self, key: HoldKey) {
+        let Some(hold) = self.holds.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&hold.request.id);
+        self.queue.remove(key);
+        for id in [&hold.prefill, &hold.decode] {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.release(key);
+            }
+        }
+    }
+
+    fn tell(&mut self, key: HoldKey, outcome: HoldOutcome) {
+        let hold = &self.holds[key];
+        let (id, attempt) = (hold.request.id.clone(), hold.request.attempt);
+        self.told.push(Told {
+            to: hold.from.clone(),
+            id,
+            attempt,
+            outcome,
+        });
+    }
+}
+
+/// Pages that a request needs on a decode engine, for prompt and whole output.
+fn pages(request: &HoldRequest) -> u32 {
+    (request.prompt_tokens + request.output_tokens).div_ceil(PAGE_TOKENS) as u32
+}
+
+fn average(slot: &mut Option<f64>, value: f64) {
+    *slot = Some(slot.map_or(value, |old| old + (value - old) * AVERAGE_WEIGHT));
+}
--- /dev/null
+++ b/crates/core/src/fair_queue.rs
@@ -0,0 +1,181 @@
+//! Weighted fair queueing of requests between customers; see `docs/design/fairness.md`.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use jacinthlever_types::{Class, CustomerId};
+
+/// Tokens, for a customer of weight 1, by which an urgent request goes ahead of its fair turn.
+///
+/// The lead is finite, so urgent requests of one customer cannot starve the others.
+pub const URGENT_LEAD_TOKENS: f64 = 8_192.0;
+
+#[derive(Debug)]
+struct Entry<K> {
+    key: K,
+    /// Cost in tokens.
+    cost: f64,
+}
+
+#[derive(Debug)]
+struct Flow<K> {
+    weight: f64,
+    /// Virtual time at which the customer's last granted request ends.
+    finish: f64,
+    urgent: VecDeque<Entry<K>>,
+    patient: VecDeque<Entry<K>>,
+}
+
+impl<K: Copy + Eq> Flow<K> {
+    fn queue(&mut self, class: Class) -> &mut VecDeque<Entry<K>> {
+        match class {
+            Class::Urgent => &mut self.urgent,
+            Class::Patient => &mut self.patient,
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.urgent.len() + self.patient.len()
+    }
+
+    fn next_class(&self) -> Option<Class> {
+        match (self.urgent.is_empty(), self.patient.is_empty()) {
+            (false, _) => Some(Class::Urgent),
+            (true, false) => Some(Class::Patient),
+            (true, true) => None,
+        }
+    }
+}
+
+/// Start-time fair queueing (Goyal, Vin and Cheng, 1996) with a bounded lead for urgent requests.
+#[derive(Debug)]
+pub struct FairQueue<K> {
+    flows: BTreeMap<CustomerId, Flow<K>>,
+    virtual_time: f64,
+}
+
+impl<K> Default for FairQueue<K> {
+    fn default() -> Self {
+        Self {
+            flows: BTreeMap::new(),
+            virtual_time: 0.0,
+        }
+    }
+}
+
+impl<K: Copy + Eq> FairQueue<K> {
+    /// Adds a request at the end of its customer's queue, or at its front when `first` is set.
+    pub fn push(
+        &mut self,
+        customer: &CustomerId,
+        weight: f64,
+        class: Class,
+        cost: f64,
+        key: K,
+        first: bool,
+    ) {
+        let flow = self.flows.entry(customer.clone()).or_insert_with(|| Flow {
+            weight,
+            finish: 0.0,
+            urgent: VecDeque::new(),
+            patient: VecDeque::new(),
+        });
+        flow.weight = weight;
+        let entry = Entry { key, cost };
+        match first {
+            true => flow.queue(class).push_front(entry),
+            false => flow.queue(class).push_back(entry),
+        }
+    }
+
+    /// Returns the request whose turn it is.
+    pub fn peek(&self) -> Option<K> {
+        let (customer, class) = self.next()?;
+        let flow = self.flows.get(&customer)?;
+        let queue = match class {
+            Class::Urgent => &flow.urgent,
+            Class::Patient => &flow.patient,
+        };
+        queue.front().map(|entry| entry.key)
+    }
+
+    /// Removes the request whose turn it is and counts its cost.
+    pub fn pop(&mut self) -> Option<K> {
+        let (customer, class) = self.next()?;
+        self.virtual_time = self.virtual_time.max(self.least_start());
+        let virtual_time = self.virtual_time;
+        let flow = self.flows.get_mut(&customer)?;
+        let entry = flow.queue(class).pop_front()?;
+        flow.finish = flow.finish.max(virtual_time) + entry.cost / flow.weight;
+        self.drop_idle();
+        Some(entry.key)
+    }
+
+    /// Removes a request that gives up; its cost does not count.
+    pub fn remove(&mut self, key: K) {
+        for flow in self.flows.values_mut() {
+            flow.urgent.retain(|entry| entry.key != key);
+            flow.patient.retain(|entry| entry.key != key);
+        }
+    }
+
+    /// Gives a customer back cost that was counted and not used.
+    pub fn credit(&mut self, customer: &CustomerId, tokens: f64) {
+        if let Some(flow) = self.flows.get_mut(customer) {
+            flow.finish -= tokens / flow.weight;
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.flows.values().map(Flow::len).sum()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.flows.values().all(|flow| flow.len() == 0)
+    }
+
+    /// Returns a customer's requests that go before a new one of the class.
+    pub fn ahead(&self, customer: &CustomerId, class: Class) -> usize {
+        self.flows.get(customer).map_or(0, |flow| match class {
+            Class::Urgent => flow.urgent.len(),
+            Class::Patient => flow.len(),
+        })
+    }
+
+    /// Returns the part of the capacity that a customer gets beside those that wait now.
+    pub fn share(&self, customer: &CustomerId, weight: f64) -> f64 {
+        let waiting = self
+            .flows
+            .iter()
+            .filter(|(id, flow)| *id != customer && flow.len() > 0);
+        weight / (weight + waiting.map(|(_, flow)| flow.weight).sum::<f64>())
+    }
+
+    fn next(&self) -> Option<(CustomerId, Class)> {
+        let backlogged = self.flows.iter().filter_map(|(customer, flow)| {
+            let class = flow.next_class()?;
+            let lead = if class == Class::Urgent {
+                URGENT_LEAD_TOKENS
+            } else {
+                0.0
+            };
+            Some((flow.finish.max(self.virtual_time) - lead, customer, class))
+        });
+        let least = backlogged.min_by(|a, b| a.0.total_cmp(&b.0));
+        least.map(|(_, customer, class)| (customer.clone(), class))
+    }
+
+    fn least_start(&self) -> f64 {
+        let waiting = self.flows.values().filter(|flow| flow.len() > 0);
+        let starts = waiting.map(|flow| flow.finish.max(self.virtual_time));
+        starts.min_by(f64::total_cmp).unwrap_or(self.virtual_time)
+    }
+
+    /// Idle customers whose turn has passed start afresh and need no memory.
+    fn drop_idle(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.flows
+            .retain(|_, flow| flow.len() > 0 || flow.finish > virtual_time);
+    }
+}
--- /dev/null
+++ b/crates/core/src/plugins/authenticate.rs
@@ -0,0 +1,245 @@
+//! Stage 1: whose request it is, whether it may use the route, and whether its fields are in range.
+
+use std::time::Duration;
+
+use jacinthlever_types::{Code, CustomerId, KeyHash, ModelId, RouteId, RouteRow, Verdict};
+use serde_json::json;
+
+use crate::{Core, Flow, Plugin, Reply, ReqKey, Stage, Target, plugins::finish, plugins::where_to};
+
+inventory::submit! {
+    Plugin { stage: Some((Stage::Authenticate, run)), ..Plugin::named("authenticate") }
+}
+
+/// When a refusal for want of configuration or peers may be tried again.
+const RETRY_SOON: Duration = Duration::from_secs(1);
+
+fn run(core: &mut Core, key: ReqKey) -> Flow {
+    if let Err(verdict) = admit(core) {
+        return Flow::Refuse(verdict);
+    }
+    let Some(request) = core.requests.get(key) else {
+        return Flow::Done;
+    };
+    let key_hash = request.inbound.key;
+    match request.inbound.target.clone() {
+        Target::Models => list_models(core, key, key_hash),
+        Target::Where => where_to::answer(core, key, key_hash),
+        Target::Model {
+            model,
+            prompt_bytes,
+            max_tokens,
+            ..
+        } => {
+            let found = model_route(core, &model, key_hash);
+            match found.and_then(|found| {
+                let sizes = model_sizes(core, &model, prompt_bytes, max_tokens)?;
+                Ok((found, sizes))
+            }) {
+                Err(verdict) => Flow::Refuse(verdict),
+                Ok((found, sizes)) => enter(core, key, found, sizes),
+            }
+        }
+        Target::Plain { path, .. } => match plain_route(core, &path, key_hash) {
+            Err(verdict) => Flow::Refuse(verdict),
+            Ok(found) => enter(core, key, found, Sizes::default()),
+        },
+    }
+}
+
+/// Route, with the customer that uses it.
+type Found = (RouteId, RouteRow, Option<CustomerId>);
+
+/// Token counts of a model request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sizes {
+    prompt_tokens: u64,
+    max_tokens: u32,
+}
+
+/// Whether the instance takes any request now.
+fn admit(core: &Core) -> Result<(), Verdict> {
+    if core.draining {
+        let others: Vec<&str> = where_to::addresses(core, None)
+            .into_iter()
+            .filter_map(|id| {
+                core.directory
+                    .caller_address(&id)
+                    .map(|address| address.as_str())
+            })
+            .collect();
+        let message = format!(
+            "this instance is shutting down; use {}",
+            others.join(" or ")
+        );
+        return Err(Verdict::not_run(Code::Draining, message).retry_after(Duration::ZERO));
+    }
+    if !core.config.is_confirmed() {
+        let message = "this instance has no confirmed configuration yet";
+        return Err(Verdict::not_run(Code::CutOff, message).retry_after(RETRY_SOON));
+    }
+    if core.requests.len() > core.settings.max_requests {
+        let message = "this instance holds as many requests as it may";
+        return Err(Verdict::not_run(Code::Overloaded, message).retry_after(RETRY_SOON));
+    }
+    Ok(())
+}
+
+fn enter(core: &mut Core, key: ReqKey, found: Found, sizes: Sizes) -> Flow {
+    let (route_id, route, customer) = found;
+    let Some(request) = core.requests.get_mut(key) else {
+        return Flow::Done;
+    };
+    request.deadline = request.arrived + Duration::from_millis(route.patience_ms);
+    request.class = route.class;
+    request.route = Some(route_id);
+    request.customer = customer;
+    request.prompt_tokens = sizes.prompt_tokens;
+    request.max_tokens = sizes.max_tokens;
+    Flow::Next
+}
+
+/// Returns the customer of a shown key.
+pub(crate) fn customer_of(core: &Core, key: Option<KeyHash>) -> Result<CustomerId, Verdict> {
+    if core.table.cut_off {
+        let message = "this instance is cut off from the table and its peers";
+        return Err(Verdict::not_run(Code::CutOff, message).retry_after(RETRY_SOON));
+    }
+    let missing = || Verdict::not_run(Code::KeyMissing, "the route needs a key");
+    let hash = key.ok_or_else(missing)?;
+    let unknown = || Verdict::not_run(Code::KeyUnknown, "the key is not granted");
+    let row = core.config.key(&hash).ok_or_else(unknown)?;
+    if core.config.customer(&row.customer).is_none() {
+        return Err(unknown());
+    }
+    Ok(row.customer.clone())
+}
+
+fn model_route(core: &Core, model: &ModelId, key: Option<KeyHash>) -> Result<Found, Verdict> {
+    let routes: Vec<_> = core.config.model_routes(model).collect();
+    if let Some((id, route)) = routes.iter().find(|(_, route)| route.open) {
+        return Ok(((*id).clone(), (*route).clone(), None));
+    }
+    let customer = customer_of(core, key)?;
+    if routes.is_empty() || core.config.model(model).is_none() {
+        let message = format!("no route serves model {model}");
+        return Err(Verdict::not_run(Code::ModelUnknown, message));
+    }
+    let granted = routes
+        .into_iter()
+        .find(|(_, route)| route.customers.contains(&customer));
+    let (id, route) = granted.ok_or_else(forbidden)?;
+    Ok((id.clone(), route.clone(), Some(customer)))
+}
+
+fn plain_route(core: &Core, path: &str, key: Option<KeyHash>) -> Result<Found, Verdict> {
+    let found = core.config.plain_route(path);
+    let unknown = || Verdict::not_run(Code::RouteUnknown, "no route matches the path");
+    let (id, route) = found.ok_or_else(unknown)?;
+    if route.open {
+        return Ok((id.clone(), route.clone(), None));
+    }
+    let customer = customer_of(core, key)?;
+    if !route.customers.contains(&customer) {
+        return Err(forbidden());
+    }
+    Ok((id.clone(), route.clone(), Some(customer)))
+}
+
+/// Whether a running request may go on under the configuration in force.
+pub(crate) fn still_allowed(core: &Core, key: ReqKey) -> bool {
+    let Some(request) = core.requests.get(key) else {
+        return true;
+    };
+    let Some(customer) = &request.customer else {
+        return true;
+    };
+    let Some(route) = request.route.as_ref().and_then(|id| core.config.route(id)) else {
+        return false;
+    };
+    let granted = request.inbound.key.and_then(|hash| core.config.key(&hash));
+    let same = granted.is_some_and(|row| row.customer == *customer);
+    let exists = core.config.customer(customer).is_some();
+    route.open || (same && exists && route.customers.contains(customer))
+}
+
+/// Ends the requests that a change of configuration has withdrawn the permission of.
+pub(crate) fn cut_withdrawn(core: &mut Core) {
+    let cut: Vec<ReqKey> = core
+        .requests
+        .keys()
+        .filter(|key| !still_allowed(core, *key))
+        .collect();
+    for key in cut {
+        let verdict = Verdict::not_run(Code::KeyWithdrawn, "the key or its route was withdrawn");
+        finish::refuse(core, key, verdict);
+    }
+}
+
+fn model_sizes(
+    core: &Core,
+    model: &ModelId,
+    prompt_bytes: usize,
+    max_tokens: Option<u32>,
+) -> Result<Sizes, Verdict> {
+    let unknown = || Verdict::not_run(Code::ModelUnknown, format!("no model {model}"));
+    let row = core.config.model(model).ok_or_else(unknown)?;
+    let prompt_tokens = row.prompt_tokens_bound(prompt_bytes);
+    let max_tokens = max_tokens.unwrap_or(row.default_max_tokens);
+    if max_tokens == 0 {
+        return Err(Verdict::not_run(
+            Code::FieldInvalid,
+            "max_tokens: expected at least 1",
+        ));
+    }
+    if prompt_tokens + u64::from(max_tokens) > u64::from(row.context) {
+        let message = format!(
+            "prompt of up to {prompt_tokens} tokens and max_tokens of {max_tokens} exceed the \
+             model's context of {} tokens",
+            row.context
+        );
+        return Err(Verdict::not_run(Code::ContextExceeded, message));
+    }
+    Ok(Sizes {
+        prompt_tokens,
+        max_tokens,
+    })
+}
+
+fn list_models(core: &mut Core, key: ReqKey, key_hash: Option<KeyHash>) -> Flow {
+    let customer = match customer_of(core, key_hash) {
+        Ok(customer) => Some(customer),
+        Err(_) if key_hash.is_none() => None,
+        Err(verdict) => return Flow::Refuse(verdict),
+    };
+    let may_use = |route: &RouteRow| {
+        route.open
+            || customer
+                .as_ref()
+                .is_some_and(|c| route.customers.contains(c))
+    };
+    let models: Vec<_> = core
+        .config
+        .models()
+        .keys()
+        .filter(|model| {
+            core.config
+                .model_routes(model)
+                .any(|(_, route)| may_use(route))
+        })
+        .map(|model| json!({"id": model, "object": "model", "owned_by": "jacinthlever"}))
+        .collect();
+    finish::answer(
+        core,
+        key,
+        Reply::Json(json!({"object": "list", "data": models})),
+    );
+    Flow::Done
+}
+
+fn forbidden() -> Verdict {
+    Verdict::not_run(
+        Code::RouteForbidden,
+        "the route is not granted to the key's customer",
+    )
+}
--- /dev/null
+++ b/crates/core/src/plugins/configuration.rs
@@ -0,0 +1,212 @@
+//! Keeps the configuration in force up to date, from the table and from peers.
+
+use std::time::Duration;
+
+use jacinthlever_types::{InstanceId, PeerMsg, RowKey, RowsReply, TableRow, VersionedRow};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::plugins::authenticate;
+use crate::table_health::HealthChange;
+use crate::{Core, LogEvent, PlatformOp, PlatformReply, Plugin};
+
+inventory::submit! {
+    Plugin { tick: Some(tick), peer: Some(peer), ..Plugin::named("configuration") }
+}
+
+/// Row that every edit writes, so that edits are checked one after the other.
+pub(crate) const HEAD_KEY: &str = "config/head";
+
+/// Name of the object that holds the latest snapshot.
+const SNAPSHOT: &str = "config-snapshot";
+
+/// Pause between two pulls from peers.
+const PULL_EVERY: Duration = Duration::from_millis(100);
+
+/// The whole configuration, for instances that start.
+#[derive(Debug, Deserialize, Serialize)]
+struct Snapshot {
+    revision: u64,
+    rows: Vec<VersionedRow>,
+}
+
+fn tick(core: &mut Core) {
+    let hears_majority = core
+        .members
+        .hears_majority(&core.settings.instance, core.now);
+    for change in core.table.judge(hears_majority, core.now) {
+        log_health(core, change);
+    }
+    if !core.schedule.snapshot_read {
+        core.schedule.snapshot_read = true;
+        read_snapshot(core);
+    }
+    if core.now >= core.schedule.read_config && !core.schedule.reading_config {
+        read_table(core);
+    }
+}
+
+/// Takes in that the table service has answered.
+pub(crate) fn table_answered(core: &mut Core) {
+    if let Some(change) = core.table.answered(core.now) {
+        log_health(core, change);
+    }
+}
+
+fn log_health(core: &mut Core, change: HealthChange) {
+    let instance = core.settings.instance.clone();
+    core.log(match change {
+        HealthChange::TableLost(seconds) => LogEvent::TableUnreachable { seconds },
+        HealthChange::TableBack(seconds) => LogEvent::TableReachable { seconds },
+        HealthChange::CutOff => LogEvent::CutOff { instance },
+        HealthChange::CutOffEnded => LogEvent::CutOffEnded { instance },
+    });
+}
+
+fn read_table(core: &mut Core) {
+    core.schedule.reading_config = true;
+    core.schedule.read_config = core.now + core.settings.poll_every;
+    let prefix = SmolStr::new_static(RowKey::table_prefix());
+    let after = core.schedule.config_revision;
+    core.platform(
+        PlatformOp::Rows { prefix, after },
+        Box::new(|core, result| {
+            core.schedule.reading_config = false;
+            if let Ok(PlatformReply::Rows(reply)) = result {
+                table_answered(core);
+                table_read(core, reply);
+            }
+        }),
+    );
+}
+
+fn table_read(core: &mut Core, reply: RowsReply) {
+    core.schedule.config_revision = core.schedule.config_revision.max(reply.revision);
+    core.config.confirm();
+    apply_table_rows(core, reply.rows);
+}
+
+/// Puts rows in force as the table service names them.
+pub(crate) fn apply_table_rows(core: &mut Core, rows: Vec<TableRow>) {
+    let head = rows.iter().find(|row| row.key == HEAD_KEY);
+    core.config_head = head.map_or(core.config_head, |head| head.version);
+    let rows = rows.into_iter().filter_map(|row| {
+        let key = RowKey::from_table_key(&row.key)?;
+        Some(VersionedRow {
+            key,
+            version: row.version,
+            value: row.value,
+        })
+    });
+    let rows = rows.collect();
+    apply(core, rows);
+}
+
+/// Puts rows in force, and ends what they no longer permit.
+pub(crate) fn apply(core: &mut Core, rows: Vec<VersionedRow>) {
+    if rows.is_empty() {
+        return;
+    }
+    let before = core.config.revision();
+    for (key, problem) in core.config.apply(rows) {
+        core.log(LogEvent::ConfigRowInvalid {
+            key,
+            problem: SmolStr::new(problem),
+        });
+    }
+    let revision = core.config.revision();
+    if revision > before {
+        core.log(LogEvent::ConfigApplied { revision });
+        authenticate::cut_withdrawn(core);
+    }
+}
+
+fn read_snapshot(core: &mut Core) {
+    let read = PlatformOp::GetObject {
+        name: SmolStr::new_static(SNAPSHOT),
+    };
+    core.platform(
+        read,
+        Box::new(|core, result| {
+            let Ok(PlatformReply::Object(Some(value))) = result else {
+                return;
+            };
+            if let Ok(snapshot) = Snapshot::deserialize(value) {
+                // Not confirmed by this: the table or a peer must say that nothing is newer.
+                apply(core, snapshot.rows);
+                let known = core.schedule.config_revision.max(snapshot.revision);
+                core.schedule.config_revision = known;
+            }
+        }),
+    );
+}
+
+/// Writes the configuration in force for instances that start later.
+pub(crate) fn write_snapshot(core: &mut Core) {
+    let rows: Vec<VersionedRow> = core.config.rows().cloned().collect();
+    let snapshot = Snapshot {
+        revision: core.config.revision(),
+        rows,
+    };
+    if let Ok(value) = serde_json::to_value(&snapshot) {
+        let name = SmolStr::new_static(SNAPSHOT);
+        core.platform(PlatformOp::PutObject { name, value }, Box::new(|_, _| {}));
+    }
+}
+
+/// Asks a peer for what it knows and this instance does not.
+pub(crate) fn heard_revision(core: &mut Core, from: &InstanceId, revision: u64) {
+    let wanted = revision > core.config.revision() || !core.config.is_confirmed();
+    if wanted && core.now >= core.schedule.pull_config {
+        core.schedule.pull_config = core.now + PULL_EVERY;
+        let after = core.config.revision();
+        core.send(from, PeerMsg::ConfigPull { after });
+    }
+}
+
+/// Tells the neighbours of rows that were just written.
+pub(crate) fn push(core: &mut Core, after: u64) {
+    let revision = core.config.revision();
+    let rows = core.config.rows_after(after);
+    for peer in core.members.neighbours(&core.settings.instance) {
+        core.send(
+            &peer,
+            PeerMsg::ConfigDelta {
+                after,
+                revision,
+                rows: rows.clone(),
+            },
+        );
+    }
+}
+
+fn peer(core: &mut Core, from: &InstanceId, msg: PeerMsg) -> Option<PeerMsg> {
+    match msg {
+        PeerMsg::ConfigPull { after } => {
+            if core.config.is_confirmed() {
+                let revision = core.config.revision();
+                let rows = core.config.rows_after(after);
+                core.send(
+                    from,
+                    PeerMsg::ConfigDelta {
+                        after,
+                        revision,
+                        rows,
+                    },
+                );
+            }
+        }
+        PeerMsg::ConfigDelta { after, rows, .. } => {
+            // With a gap the rows would claim more than they hold; a pull closes it.
+            if after <= core.config.revision() {
+                apply(core, rows);
+                core.config.confirm();
+            } else {
+                core.schedule.pull_config = core.now;
+                heard_revision(core, from, after);
+            }
+        }
+        other => return Some(other),
+    }
+    None
+}
--- /dev/null
+++ b/crates/core/src/plugins/dispatch.rs
@@ -0,0 +1,52 @@
+//! Stage 5: run the request on backend servers.
+
+use crate::kernel::CallOwner;
+use crate::plugins::{model_call, plain_call, scheduling};
+use crate::{CallId, CallResult, Core, Flow, Plugin, ReqKey, Stage, Target};
+
+inventory::submit! {
+    Plugin { stage: Some((Stage::Dispatch, run)), ..Plugin::named("dispatch") }
+}
+
+fn run(core: &mut Core, key: ReqKey) -> Flow {
+    let Some(request) = core.requests.get(key) else {
+        return Flow::Done;
+    };
+    match &request.inbound.target {
+        Target::Model { .. } => model_call::start(core, key),
+        _ => plain_call::start(core, key),
+    }
+}
+
+/// Hands the result of a call to whoever waits for it.
+pub(crate) fn call_result(core: &mut Core, call: CallId, result: CallResult) {
+    let is_last = !matches!(result, CallResult::FirstToken | CallResult::Harmless);
+    let owner = match is_last {
+        true => core.calls.remove(&call),
+        false => core.calls.get(&call).cloned(),
+    };
+    match owner {
+        None | Some(CallOwner::Nobody) => {}
+        Some(CallOwner::Probe(cell, engine)) => {
+            let load = match result {
+                CallResult::Load(load) => Some(load),
+                _ => None,
+            };
+            scheduling::probed(core, &cell, &engine, load);
+        }
+        Some(CallOwner::Request(key)) => request_result(core, key, call, result),
+    }
+}
+
+fn request_result(core: &mut Core, key: ReqKey, call: CallId, result: CallResult) {
+    let Some(request) = core.requests.get(key) else {
+        return;
+    };
+    let Some(calling) = request.calling.filter(|calling| calling.call == call) else {
+        return;
+    };
+    match &request.inbound.target {
+        Target::Model { .. } => model_call::result(core, key, calling, result),
+        _ => plain_call::result(core, key, result),
+    }
+}
--- /dev/null
+++ b/crates/core/src/plugins/membership.rs
@@ -0,0 +1,78 @@
+//! Heartbeats between instances, and the drain of this one.
+
+use std::time::Duration;
+
+use jacinthlever_types::{InstanceId, PeerMsg};
+
+use crate::plugins::configuration;
+use crate::plugins::where_to::KEEP_MS;
+use crate::{Action, Core, LogEvent, Plugin};
+
+inventory::submit! {
+    Plugin { tick: Some(tick), peer: Some(peer), ..Plugin::named("membership") }
+}
+
+/// Time after which a drain ends although slots could not be handed over.
+const HAND_OVER: Duration = Duration::from_secs(15);
+
+fn tick(core: &mut Core) {
+    if core.now >= core.schedule.beat {
+        core.schedule.beat = core.now + core.settings.beat_every;
+        beat(core);
+    }
+    let own = core.status();
+    let (silent, heard) = core.members.refresh(&own, &core.directory, core.now);
+    let others = |ids: Vec<InstanceId>| ids.into_iter().filter(|id| *id != own.instance);
+    others(silent).for_each(|peer| core.log(LogEvent::PeerSilent { peer }));
+    others(heard).for_each(|peer| core.log(LogEvent::PeerHeard { peer }));
+    if core.draining && !core.stopped {
+        drain(core);
+    }
+}
+
+fn beat(core: &mut Core) {
+    core.beat += 1;
+    let mut members = vec![core.status()];
+    members.extend(core.members.gossip(core.now));
+    for peer in core.members.neighbours(&core.settings.instance) {
+        core.send(
+            &peer,
+            PeerMsg::Heartbeat {
+                members: members.clone(),
+            },
+        );
+    }
+}
+
+fn drain(core: &mut Core) {
+    let began = *core.schedule.drain_began.get_or_insert(core.now);
+    let linger = Duration::from_millis(KEEP_MS);
+    if core.now < began + linger || !core.requests.is_empty() {
+        return;
+    }
+    let handed_over = core.limiter.slots().next().is_none() && core.claims.all_recorded();
+    if handed_over || core.now >= began + HAND_OVER {
+        core.stopped = true;
+        let instance = core.settings.instance.clone();
+        core.log(LogEvent::DrainEnded { instance });
+        core.act(Action::Stopped);
+    }
+}
+
+fn peer(core: &mut Core, from: &InstanceId, msg: PeerMsg) -> Option<PeerMsg> {
+    match msg {
+        PeerMsg::Heartbeat { members } => {
+            if let Some(sender) = members.first() {
+                configuration::heard_revision(core, from, sender.revision);
+            }
+            for status in members {
+                if status.instance != core.settings.instance {
+                    core.members.hear(status, core.now);
+                }
+            }
+            None
+        }
+        PeerMsg::Hello { .. } => None,
+        other => Some(other),
+    }
+}
--- /dev/null
+++ b/crates/core/src/plugins/model_call.rs
@@ -0,0 +1,313 @@
+//! Runs a model request on its engines: prefill, decode, and what follows a failure.
+
+use std::time::Duration;
+
+use jacinthlever_types::{Class, Code, EngineFault, HoldEnd, KvSource, PeerMsg, Run, Verdict};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::kernel::CallOwner;
+use crate::plugins::{finish, limit, queue};
+use crate::request::{CallKind, Calling};
+use crate::slots::SlotId;
+use crate::{Call, CallFault, CallResult, Core, Flow, LogEvent, Reply, ReqKey, Sample, Stage};
+
+/// Engine allocations that one request may use up.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Broken streams of one request that are resumed on their engine.
+const MAX_RESUMES: u32 = 3;
+
+/// Starts the prefill on the engines that are held.
+pub(crate) fn start(core: &mut Core, key: ReqKey) -> Flow {
+    let Some(request) = core.requests.get_mut(key) else {
+        return Flow::Done;
+    };
+    let allocation = request
+        .hold
+        .as_ref()
+        .and_then(|hold| hold.allocation.as_ref());
+    let Some(address) = allocation.map(|allocation| allocation.prefill_address.clone()) else {
+        return Flow::Wait;
+    };
+    request.run = Run::MayHaveRun;
+    let (caller, attempt) = (request.caller, request.attempt_name());
+    begin(
+        core,
+        key,
+        address,
+        Call::Prefill { caller, attempt },
+        CallKind::Prefill,
+    );
+    Flow::Wait
+}
+
+fn begin(core: &mut Core, key: ReqKey, address: SmolStr, request: Call, kind: CallKind) {
+    let call = core.call(address, request, CallOwner::Request(key));
+    let since = core.now;
+    if let Some(request) = core.requests.get_mut(key) {
+        request.calling = Some(Calling { call, kind, since });
+    }
+}
+
+/// Takes in progress or the end of a call.
+pub(crate) fn result(core: &mut Core, key: ReqKey, calling: Calling, result: CallResult) {
+    match result {
+        CallResult::Prefilled {
+            kv,
+            prompt_tokens,
+            cached_tokens,
+        } => {
+            prefilled(core, key, calling, prompt_tokens, cached_tokens);
+            decode(core, key, kv);
+        }
+        CallResult::FirstToken => first_token(core, key),
+        CallResult::Harmless => harmless(core, key),
+        CallResult::Decoded { finish, position } => {
+            if let Some(request) = core.requests.get_mut(key) {
+                request.position = position;
+                request.calling = None;
+                let prompt_tokens = request.counted_prompt.unwrap_or_default();
+                let reply = Reply::Finished {
+                    finish,
+                    prompt_tokens,
+                    output_tokens: position,
+                };
+                finish::answer(core, key, reply);
+            }
+        }
+        CallResult::Failed { fault, position } => failed(core, key, calling, fault, position),
+        CallResult::Load(_) | CallResult::Plain(_) | CallResult::Cancelled => {}
+    }
+}
+
+fn prefilled(core: &mut Core, key: ReqKey, calling: Calling, prompt: u32, cached_tokens: u32) {
+    let took = core.now.saturating_sub(calling.since);
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    if request.counted_prompt.is_none() {
+        request.counted_prompt = Some(prompt.saturating_sub(request.position));
+    }
+    request.unused_prefill = true;
+    let Some(hold) = &request.hold else { return };
+    let msg = PeerMsg::Prefilled {
+        id: request.id.clone(),
+        cell: hold.cell.clone(),
+        cached_tokens,
+        took_ms: took.as_millis() as u32,
+    };
+    let keeper = hold.keeper.clone();
+    core.send(&keeper, msg);
+}
+
+fn decode(core: &mut Core, key: ReqKey, kv: SmolStr) {
+    let Some(request) = core.requests.get(key) else {
+        return;
+    };
+    let allocation = request
+        .hold
+        .as_ref()
+        .and_then(|hold| hold.allocation.as_ref());
+    let Some(allocation) = allocation else { return };
+    let address = allocation.decode_address.clone();
+    let call = Call::Decode {
+        caller: request.caller,
+        attempt: request.attempt_name(),
+        source: KvSource {
+            address: allocation.prefill_address.clone(),
+            kv,
+        },
+        max_tokens: request.max_tokens,
+        priority: if request.class == Class::Urgent { 0 } else { 1 },
+    };
+    begin(core, key, address, call, CallKind::Decode);
+}
+
+fn first_token(core: &mut Core, key: ReqKey) {
+    let now = core.now;
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    request.unused_prefill = false;
+    let is_first = request.first_token.is_none();
+    request.first_token.get_or_insert(now);
+    let took = now.saturating_sub(request.arrived);
+    let hold = request
+        .hold
+        .as_ref()
+        .map(|hold| (hold.keeper.clone(), hold.cell.clone()));
+    let id = request.id.clone();
+    if is_first {
+        core.measure(key, Sample::FirstToken(took));
+    }
+    if let Some((keeper, cell)) = hold {
+        core.send(&keeper, PeerMsg::Decoding { id, cell });
+    }
+}
+
+/// Tells the holder that the request is harmless, so that equal ones need not wait for its end.
+fn harmless(core: &mut Core, key: ReqKey) {
+    let Some(request) = core.requests.get(key) else {
+        return;
+    };
+    let Some(charge) = &request.charge else {
+        return;
+    };
+    let customer = charge.customer.clone();
+    let (id, fingerprint) = (request.id.clone(), request.inbound.fingerprint);
+    if let Some(holder) = core.slots.holder(SlotId::of(&customer)).cloned() {
+        core.send(
+            &holder,
+            PeerMsg::Harmless {
+                id,
+                customer,
+                fingerprint,
+            },
+        );
+    }
+}
+
+fn failed(core: &mut Core, key: ReqKey, calling: Calling, fault: CallFault, position: u32) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    request.calling = None;
+    request.position = request.position.max(position);
+    let is_decode = calling.kind != CallKind::Prefill;
+    if is_decode && fault == CallFault::Broken && request.resumes < MAX_RESUMES {
+        return resume(core, key);
+    }
+    let fault = engine_fault(calling.kind, fault);
+    waste(core, key);
+    if fault != EngineFault::Crashed && fault != EngineFault::Down {
+        cancel(core, key);
+    }
+    let end = match is_decode {
+        true => HoldEnd::DecodeFailed(fault),
+        false => HoldEnd::PrefillFailed(fault),
+    };
+    queue::release(core, key, end);
+    retry(core, key, fault);
+}
+
+/// Continues a stream that broke on an engine which is still alive.
+fn resume(core: &mut Core, key: ReqKey) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    request.resumes += 1;
+    let allocation = request
+        .hold
+        .as_ref()
+        .and_then(|hold| hold.allocation.as_ref());
+    let Some(address) = allocation.map(|allocation| allocation.decode_address.clone()) else {
+        return;
+    };
+    let (caller, attempt) = (request.caller, request.attempt_name());
+    begin(
+        core,
+        key,
+        address,
+        Call::Resume { caller, attempt },
+        CallKind::Resume,
+    );
+}
+
+/// Runs the request again from the tokens that the caller already has, if that is allowed.
+fn retry(core: &mut Core, key: ReqKey, fault: EngineFault) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    let id = request.id.clone();
+    let crashed = fault == EngineFault::Crashed;
+    request.suspect |= crashed;
+    if request.attempt >= MAX_ATTEMPTS || !core.retries.spend() {
+        let message = "backend servers failed, and no attempt is left";
+        return finish::refuse(
+            core,
+            key,
+            Verdict::may_have_run(Code::BackendFailed, message),
+        );
+    }
+    let reason = crate::fault_text(fault);
+    core.log(LogEvent::RequestRetried {
+        id: id.clone(),
+        reason,
+    });
+    if crashed {
+        core.log(LogEvent::RequestSuspect { id });
+        extend_deadline(core, key);
+        return limit::ask_after_crash(core, key);
+    }
+    if let Some(request) = core.requests.get_mut(key) {
+        request.stage = Stage::Queue;
+    }
+    core.advance(key);
+}
+
+/// Time that a request whose engine crashed may wait to be admitted again.
+const READMIT_WAIT: Duration = Duration::from_secs(5);
+
+fn extend_deadline(core: &mut Core, key: ReqKey) {
+    let least = core.now + READMIT_WAIT;
+    if let Some(request) = core.requests.get_mut(key) {
+        request.deadline = request.deadline.max(least);
+    }
+}
+
+fn engine_fault(kind: CallKind, fault: CallFault) -> EngineFault {
+    match fault {
+        // An engine that takes no more connections under a running request has crashed.
+        CallFault::Refused if kind == CallKind::Resume => EngineFault::Crashed,
+        CallFault::Refused => EngineFault::Down,
+        CallFault::Crashed => EngineFault::Crashed,
+        CallFault::Stalled => EngineFault::Stalled,
+        CallFault::Full => EngineFault::Full,
+        CallFault::KvLost => EngineFault::KvLost,
+        CallFault::Broken | CallFault::Crossed | CallFault::Status(_) => EngineFault::Broken,
+    }
+}
+
+/// Counts a prefill whose result no decode has used.
+pub(crate) fn waste(core: &mut Core, key: ReqKey) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    if std::mem::take(&mut request.unused_prefill) {
+        let tokens = request.prefill_tokens();
+        core.measure(key, Sample::WastedPrefill(tokens));
+    }
+}
+
+/// Frees the engine memory of the current attempt, wherever it may be held.
+pub(crate) fn cancel(core: &mut Core, key: ReqKey) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    request.calling = None;
+    let attempt = request.attempt_name();
+    let hold = request.hold.as_ref();
+    let Some(allocation) = hold.and_then(|hold| hold.allocation.clone()) else {
+        return;
+    };
+    for address in [allocation.prefill_address, allocation.decode_address] {
+        core.call(
+            address,
+            Call::Cancel {
+                attempt: attempt.clone(),
+            },
+            CallOwner::Nobody,
+        );
+    }
+}
+
+/// Returns the reason of a failed call of a plain service, for the log.
+pub(crate) fn call_fault_text(fault: CallFault) -> SmolStr {
+    match fault {
+        CallFault::Refused => SmolStr::new_static("refuses connections"),
+        CallFault::Crashed => SmolStr::new_static("crashed"),
+        CallFault::Stalled => SmolStr::new_static("stalled"),
+        CallFault::Status(status) => format_smolstr!("answered with status {status}"),
+        _ => SmolStr::new_static("broke the connection"),
+    }
+}
--- /dev/null
+++ b/crates/core/src/plugins/operator.rs
@@ -0,0 +1,100 @@
+//! Answers operators: rows, status, drain.
+
+use serde_json::json;
+
+use crate::plugins::edit;
+use crate::{Action, Core, LogEvent, OperatorId, OperatorReply, OperatorRequest};
+
+/// Takes in an operator's request.
+pub(crate) fn request(core: &mut Core, operator: OperatorId, request: OperatorRequest) {
+    match request {
+        OperatorRequest::Rows => {
+            let body = rows(core);
+            reply(core, operator, OperatorReply::Json(body));
+        }
+        OperatorRequest::Status => {
+            let body = status(core);
+            reply(core, operator, OperatorReply::Json(body));
+        }
+        OperatorRequest::Edit { edit, changes } => edit::start(core, operator, edit, changes),
+        OperatorRequest::Drain => {
+            start_drain(core);
+            reply(
+                core,
+                operator,
+                OperatorReply::Json(json!({"draining": true})),
+            );
+        }
+    }
+}
+
+/// Answers an operator.
+pub(crate) fn reply(core: &mut Core, operator: OperatorId, reply: OperatorReply) {
+    core.act(Action::Operator { operator, reply });
+}
+
+fn start_drain(core: &mut Core) {
+    if !core.draining {
+        core.draining = true;
+        // Peers should know before the next heartbeat is due.
+        core.schedule.beat = core.now;
+        let instance = core.settings.instance.clone();
+        core.log(LogEvent::DrainStarted { instance });
+    }
+}
+
+fn rows(core: &Core) -> serde_json::Value {
+    let rows: Vec<_> = core
+        .config
+        .rows()
+        .filter(|row| row.value.is_some())
+        .collect();
+    json!({"revision": core.config.revision(), "rows": rows})
+}
+
+fn status(core: &Core) -> serde_json::Value {
+    let now = core.now;
+    let own = core.status();
+    let others = core.members.statuses().map(|(status, heard)| {
+        let silent_ms = now.saturating_sub(heard).as_millis() as u64;
+        (status.clone(), silent_ms)
+    });
+    let instances: Vec<_> = std::iter::once((own, 0))
+        .chain(others)
+        .map(|(status, silent_ms)| {
+            json!({
+                "instance": status.instance,
+                "active": core.members.is_active(&status.instance),
+                "draining": status.draining,
+                "revision": status.revision,
+                "silent_ms": silent_ms,
+                "slots": core.slots.held_by(&status.instance).len(),
+                "zone": core.directory.get(status.instance.as_str()).map(|entry| &entry.zone),
+            })
+        })
+        .collect();
+    let cells: Vec<_> = core
+        .keeper
+        .cells
+        .iter()
+        .map(|(id, cell)| {
+            json!({
+                "cell": id.to_string(),
+                "engines": cell.engines().count(),
+                "waiting": cell.waiting(),
+                "pressure_percent": cell.pressure(now),
+            })
+        })
+        .collect();
+    json!({
+        "instance": core.settings.instance,
+        "ready": core.is_ready(),
+        "running": core.running(),
+        "revision": core.config.revision(),
+        "lease_valid": core.lease.is_valid(now),
+        "table_silent_ms": core.table.silence(now).as_millis() as u64,
+        "cut_off": core.table.cut_off,
+        "instances": instances,
+        "cells_kept": cells,
+    })
+}
--- /dev/null
+++ b/crates/core/src/plugins/plain_call.rs
@@ -0,0 +1,183 @@
+//! Runs a call of a plain service, once for calls that may not be repeated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jacinthlever_types::{Code, EngineId, RecordedOutcome, RouteKind, Run, Verdict};
+
+use crate::kernel::CallOwner;
+use crate::plugins::{claim, finish, model_call};
+use crate::request::{CallKind, Calling};
+use crate::{
+    Call, CallFault, CallResult, Core, Flow, LogEvent, PlainResponse, Reply, ReqKey, Target,
+};
+
+/// Workers that one call may be tried on.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Largest body that is recorded for an idempotency key, in bytes.
+const RECORDED_BODY: usize = 16 * 1024;
+
+/// Pause named to a caller when no worker is alive.
+const RETRY_SOON: Duration = Duration::from_secs(1);
+
+/// Chooses a worker and calls it.
+pub(crate) fn start(core: &mut Core, key: ReqKey) -> Flow {
+    let random = core.random();
+    let Some(request) = core.requests.get_mut(key) else {
+        return Flow::Done;
+    };
+    let route = request.route.as_ref().and_then(|id| core.config.route(id));
+    let Some(RouteKind::Plain { service, .. }) = route.map(|route| route.kind.clone()) else {
+        return Flow::Refuse(Verdict::not_run(Code::RouteUnknown, "the route is gone"));
+    };
+    let zone = &core.settings.zone;
+    let (directory, avoid) = (&core.directory, &request.avoid);
+    let chosen = core
+        .workers
+        .choose(directory, &service, avoid, zone, random, core.now);
+    let Some(worker) = chosen else {
+        return Flow::Refuse(no_worker(request.run, &service));
+    };
+    let (worker, address) = (worker.id.clone(), worker.address.clone());
+    request.run = Run::MayHaveRun;
+    request.attempt += 1;
+    request.avoid.push(worker.clone());
+    let (caller, attempt) = (request.caller, request.attempt_name());
+    core.workers.began(&worker);
+    let call = core.call(
+        address,
+        Call::Plain { caller, attempt },
+        CallOwner::Request(key),
+    );
+    let since = core.now;
+    if let Some(request) = core.requests.get_mut(key) {
+        request.calling = Some(Calling {
+            call,
+            kind: CallKind::Plain,
+            since,
+        });
+    }
+    Flow::Wait
+}
+
+/// Takes in the end of a call.
+pub(crate) fn result(core: &mut Core, key: ReqKey, result: CallResult) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    request.calling = None;
+    let worker = request.avoid.last().cloned().unwrap_or_default();
+    match result {
+        CallResult::Plain(response) => {
+            ended(core, &worker, None);
+            claim::conclude(core, key, Some(recorded(&response)));
+            finish::answer(core, key, Reply::Plain(response));
+        }
+        CallResult::Failed { fault, .. } => {
+            ended(core, &worker, Some(fault));
+            failed(core, key, fault);
+        }
+        _ => {}
+    }
+}
+
+/// Takes in that a caller has left while its call runs.
+pub(crate) fn abandoned(core: &mut Core, key: ReqKey) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    let is_plain = request
+        .calling
+        .is_some_and(|calling| calling.kind == CallKind::Plain);
+    if let Some(worker) = request.avoid.last().cloned().filter(|_| is_plain) {
+        let now = core.now;
+        core.workers.ended(&worker, true, now);
+    }
+}
+
+fn ended(core: &mut Core, worker: &smol_str::SmolStr, fault: Option<CallFault>) {
+    let now = core.now;
+    if !core.workers.ended(worker, fault.is_none(), now) {
+        return;
+    }
+    let engine = EngineId(worker.clone());
+    core.log(match fault {
+        Some(fault) => LogEvent::EngineFailed {
+            engine,
+            fault: model_call::call_fault_text(fault),
+        },
+        None => LogEvent::EngineRecovered { engine },
+    });
+}
+
+fn failed(core: &mut Core, key: ReqKey, fault: CallFault) {
+    let unsent = fault == CallFault::Refused;
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    if unsent && request.attempt == 1 {
+        request.run = Run::NotRun;
+    }
+    let may_repeat = unsent || is_repeatable(core, key);
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    let id = request.id.clone();
+    if may_repeat && request.attempt < MAX_ATTEMPTS && core.retries.spend() {
+        let reason = model_call::call_fault_text(fault);
+        core.log(LogEvent::RequestRetried { id, reason });
+        let flow = start(core, key);
+        if let Flow::Refuse(verdict) = flow {
+            finish::refuse(core, key, verdict);
+        }
+        return;
+    }
+    let run = request.run;
+    let message = match fault {
+        CallFault::Stalled => "the service did not answer in time",
+        CallFault::Refused => "the service refuses connections",
+        _ => "the service broke the connection",
+    };
+    let verdict = Verdict {
+        run,
+        ..Verdict::not_run(Code::BackendFailed, message)
+    };
+    finish::refuse(core, key, verdict);
+}
+
+fn is_repeatable(core: &Core, key: ReqKey) -> bool {
+    let Some(request) = core.requests.get(key) else {
+        return false;
+    };
+    let safe = matches!(request.inbound.target, Target::Plain { safe: true, .. });
+    let route = request.route.as_ref().and_then(|id| core.config.route(id));
+    let repeatable = route.is_some_and(|route| {
+        matches!(
+            route.kind,
+            RouteKind::Plain {
+                repeatable: true,
+                ..
+            }
+        )
+    });
+    safe || repeatable
+}
+
+fn no_worker(run: Run, service: &str) -> Verdict {
+    let message = format!("no worker of service {service} takes calls");
+    let verdict = Verdict::not_run(Code::BackendMissing, message).retry_after(RETRY_SOON);
+    Verdict { run, ..verdict }
+}
+
+fn recorded(response: &Arc<PlainResponse>) -> RecordedOutcome {
+    let fits = response.body.len() <= RECORDED_BODY;
+    let text = fits
+        .then(|| String::from_utf8(response.body.clone()).ok())
+        .flatten();
+    RecordedOutcome {
+        status: response.status,
+        content_type: response.content_type.clone(),
+        body: text,
+    }
+}
--- /dev/null
+++ b/crates/core/src/plugins/queue.rs
@@ -0,0 +1,255 @@
+//! Stage 4: hold engines at the keeper of a cell, decode before prefill.
+
+use std::time::Duration;
+
+use jacinthlever_types::{
+    CellId, Code, HoldEnd, HoldOutcome, HoldRequest, InstanceId, PeerMsg, RequestId, Run, Verdict,
+};
+
+use crate::request::Hold;
+use crate::{Core, Flow, Plugin, ReqKey, Sample, Stage, Target};
+
+inventory::submit! {
+    Plugin {
+        stage: Some((Stage::Queue, run)),
+        wait: Some(wait),
+        peer: Some(peer),
+        ..Plugin::named("queue")
+    }
+}
+
+/// Pause before a keeper that has not answered is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+
+/// Time after the deadline that the keeper has to tell of its refusal.
+const GRACE: Duration = Duration::from_millis(250);
+
+/// Time that a request which has started may wait for new engines.
+const RESTART_WAIT: Duration = Duration::from_secs(5);
+
+/// Pause named to a caller whose keeper does not answer.
+const RETRY_SOON: Duration = Duration::from_secs(1);
+
+fn run(core: &mut Core, key: ReqKey) -> Flow {
+    let Some(request) = core.requests.get(key) else {
+        return Flow::Done;
+    };
+    if request
+        .hold
+        .as_ref()
+        .is_some_and(|hold| hold.allocation.is_some())
+    {
+        return Flow::Next;
+    }
+    let Target::Model { model, .. } = &request.inbound.target else {
+        return Flow::Next;
+    };
+    let model = model.clone();
+    let random = core.random();
+    let Some(cell) = core.keeper.choose(&model, random) else {
+        let message = format!("no engine serves model {model}");
+        return Flow::Refuse(unavailable(core, key, &message));
+    };
+    let now = core.now;
+    if let Some(request) = core.requests.get_mut(key) {
+        request.attempt += 1;
+        if request.run == Run::MayHaveRun {
+            request.deadline = request.deadline.max(now + RESTART_WAIT);
+        }
+    }
+    ask(core, key, cell, now);
+    Flow::Wait
+}
+
+fn wait(core: &mut Core, key: ReqKey) -> Flow {
+    let now = core.now;
+    let Some(request) = core.requests.get(key) else {
+        return Flow::Done;
+    };
+    let Some(hold) = &request.hold else {
+        return Flow::Wait;
+    };
+    if now >= request.deadline + GRACE {
+        return Flow::Refuse(unavailable(core, key, "no engine was free in time"));
+    }
+    let cell = hold.cell.clone();
+    let moved = core.keeper.keeper_of(&cell) != Some(&hold.keeper);
+    if moved || (!hold.answered && now >= hold.ask_at) {
+        let since = hold.since;
+        if moved {
+            release(core, key, HoldEnd::Done);
+        }
+        ask(core, key, cell, since);
+    }
+    Flow::Wait
+}
+
+fn ask(core: &mut Core, key: ReqKey, cell: CellId, since: Duration) {
+    let now = core.now;
+    let Some(keeper) = core.keeper.keeper_of(&cell).cloned() else {
+        return;
+    };
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    let Target::Model { prefix, .. } = &request.inbound.target else {
+        return;
+    };
+    let weight = request
+        .customer
+        .as_ref()
+        .and_then(|c| core.config.customer(c));
+    let ask = HoldRequest {
+        id: request.id.clone(),
+        attempt: request.attempt,
+        cell: cell.clone(),
+        customer: request.customer.clone().unwrap_or_default(),
+        weight: weight.map_or(1.0, |customer| customer.weight),
+        class: request.class,
+        prompt_tokens: request.prefill_tokens(),
+        output_tokens: u64::from(request.max_tokens.saturating_sub(request.position)),
+        prefix: prefix.clone(),
+        due_ms: request.deadline.saturating_sub(now).as_millis() as u32,
+        suspect: request.suspect,
+    };
+    request.hold = Some(Hold {
+        cell,
+        keeper: keeper.clone(),
+        answered: false,
+        ask_at: now + ASK_AGAIN,
+        since,
+        allocation: None,
+    });
+    core.send(&keeper, PeerMsg::Hold(ask));
+}
+
+fn peer(core: &mut Core, from: &InstanceId, msg: PeerMsg) -> Option<PeerMsg> {
+    match msg {
+        PeerMsg::HoldReply {
+            id,
+            attempt,
+            outcome,
+            pressure,
+        } => {
+            replied(core, from, &id, attempt, outcome, pressure);
+            None
+        }
+        other => Some(other),
+    }
+}
+
+fn replied(
+    core: &mut Core,
+    from: &InstanceId,
+    id: &RequestId,
+    attempt: u32,
+    outcome: HoldOutcome,
+    pressure: u32,
+) {
+    let now = core.now;
+    let found = core
+        .find(id)
+        .filter(|key| awaits(core, *key, from, attempt));
+    let Some(key) = found else {
+        return give_back(core, from, id, outcome);
+    };
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    let Some(hold) = &mut request.hold else {
+        return;
+    };
+    hold.answered = true;
+    core.keeper.note_pressure(&hold.cell, pressure);
+    match outcome {
+        HoldOutcome::Queued => {}
+        HoldOutcome::NotKeeper => {
+            hold.answered = false;
+            hold.ask_at = now + ASK_AGAIN;
+        }
+        HoldOutcome::Granted(allocation) => {
+            let waited = now.saturating_sub(hold.since);
+            hold.allocation = Some(allocation);
+            core.measure(key, Sample::QueueWait(waited));
+            core.resume(key);
+        }
+        HoldOutcome::Refused { retry_after_ms } => {
+            request.hold = None;
+            let wait = Duration::from_millis(u64::from(retry_after_ms));
+            let verdict = unavailable(
+                core,
+                key,
+                "engines are busy for longer than the request may wait",
+            );
+            crate::plugins::finish::refuse(core, key, verdict.retry_after(wait));
+        }
+    }
+}
+
+/// Whether a request waits for just this answer.
+fn awaits(core: &Core, key: ReqKey, from: &InstanceId, attempt: u32) -> bool {
+    let Some(request) = core.requests.get(key) else {
+        return false;
+    };
+    let hold = request.hold.as_ref();
+    request.stage == Stage::Queue
+        && request.attempt == attempt
+        && hold.is_some_and(|hold| hold.keeper == *from && hold.allocation.is_none())
+}
+
+/// Gives engines back that were granted to a request which no longer waits for them.
+fn give_back(core: &mut Core, from: &InstanceId, id: &RequestId, outcome: HoldOutcome) {
+    if !matches!(outcome, HoldOutcome::Granted(_)) {
+        return;
+    }
+    let holds_same = core
+        .find(id)
+        .and_then(|key| core.requests.get(key))
+        .is_some_and(|request| {
+            request
+                .hold
+                .as_ref()
+                .is_some_and(|hold| hold.keeper == *from)
+        });
+    if holds_same {
+        // A repeated answer to a hold that is in use.
+        return;
+    }
+    let cells: Vec<CellId> = core.keeper.layout.cells().keys().cloned().collect();
+    for cell in cells {
+        let end = HoldEnd::Done;
+        let msg = PeerMsg::Release {
+            id: id.clone(),
+            cell,
+            end,
+            unused_tokens: 0,
+        };
+        core.send(from, msg);
+    }
+}
+
+/// Ends the hold of a request, if it has one.
+pub(crate) fn release(core: &mut Core, key: ReqKey, end: HoldEnd) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    let Some(hold) = request.hold.take() else {
+        return;
+    };
+    let unused_tokens = u64::from(request.max_tokens.saturating_sub(request.position));
+    let msg = PeerMsg::Release {
+        id: request.id.clone(),
+        cell: hold.cell,
+        end,
+        unused_tokens,
+    };
+    core.send(&hold.keeper, msg);
+}
+
+fn unavailable(core: &Core, key: ReqKey, message: &str) -> Verdict {
+    let verdict = Verdict::not_run(Code::Overloaded, message).retry_after(RETRY_SOON);
+    match core.requests.get(key) {
+        Some(request) => crate::kernel::verdict_for(request, verdict),
+        None => verdict,
+    }
+}
--- /dev/null
+++ b/crates/core/src/plugins/scheduling.rs
@@ -0,0 +1,135 @@
+//! Runs the cells that this instance keeps: probes, holds and what their instances are told.
+
+use std::time::Duration;
+
+use jacinthlever_types::{CellId, EngineId, EngineLoad, HoldOutcome, InstanceId, PeerMsg};
+
+use crate::kernel::CallOwner;
+use crate::{Call, Cell, Core, Plugin};
+
+inventory::submit! {
+    Plugin { peer: Some(peer), tick: Some(tick), ..Plugin::named("scheduling") }
+}
+
+/// Pause between two probes of an engine.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+fn tick(core: &mut Core) {
+    let own = core.settings.instance.clone();
+    let log = core
+        .keeper
+        .refresh(&own, core.members.active(), &core.directory);
+    let has_new = !log.is_empty();
+    log.into_iter().for_each(|event| core.log(event));
+    if has_new || core.now >= core.schedule.probe {
+        core.schedule.probe = core.now + PROBE_EVERY;
+        probe(core);
+        forget_lost(core);
+    }
+    core.keeper.pump(core.now);
+    tell(core);
+}
+
+fn probe(core: &mut Core) {
+    for (cell, engine, address) in core.keeper.probes() {
+        core.call(address, Call::Load, CallOwner::Probe(cell, engine));
+    }
+}
+
+fn forget_lost(core: &mut Core) {
+    let is_lost = core.lost_check();
+    let now = core.now;
+    core.keeper
+        .cells
+        .values_mut()
+        .for_each(|cell| cell.forget(&is_lost, now));
+}
+
+/// Takes in the answer to a probe.
+pub(crate) fn probed(core: &mut Core, cell: &CellId, engine: &EngineId, load: Option<EngineLoad>) {
+    let now = core.now;
+    if let Some(cell) = core.keeper.cells.get_mut(cell) {
+        cell.probed(engine, load, now);
+    }
+    tell(core);
+}
+
+fn peer(core: &mut Core, from: &InstanceId, msg: PeerMsg) -> Option<PeerMsg> {
+    let now = core.now;
+    match msg {
+        PeerMsg::Hold(request) => match core.keeper.cells.get_mut(&request.cell) {
+            Some(cell) => cell.ask(from.clone(), request, now),
+            None => {
+                let (id, attempt) = (request.id, request.attempt);
+                let outcome = HoldOutcome::NotKeeper;
+                core.send(
+                    from,
+                    PeerMsg::HoldReply {
+                        id,
+                        attempt,
+                        outcome,
+                        pressure: 0,
+                    },
+                );
+            }
+        },
+        PeerMsg::Prefilled {
+            id,
+            cell,
+            cached_tokens,
+            took_ms,
+        } => {
+            let took = Duration::from_millis(u64::from(took_ms));
+            with_cell(core, &cell, |cell| {
+                cell.prefilled(&id, cached_tokens, took, now)
+            });
+        }
+        PeerMsg::Decoding { id, cell } => {
+            with_cell(core, &cell, |cell| cell.decoding(&id, now));
+        }
+        PeerMsg::Release {
+            id,
+            cell,
+            end,
+            unused_tokens,
+        } => {
+            with_cell(core, &cell, |cell| {
+                cell.release(&id, end, unused_tokens, now)
+            });
+        }
+        other => return Some(other),
+    }
+    tell(core);
+    None
+}
+
+fn with_cell(core: &mut Core, id: &CellId, change: impl FnOnce(&mut Cell)) {
+    if let Some(cell) = core.keeper.cells.get_mut(id) {
+        change(cell);
+    }
+}
+
+/// Sends what the cells have decided.
+fn tell(core: &mut Core) {
+    let now = core.now;
+    let mut messages = Vec::new();
+    let mut log = Vec::new();
+    for cell in core.keeper.cells.values_mut() {
+        let pressure = cell.pressure(now);
+        messages.extend(cell.take_told().into_iter().map(|told| (told, pressure)));
+        log.extend(cell.take_logged());
+    }
+    log.into_iter().for_each(|event| core.log(event));
+    for (told, pressure) in messages {
+        let (id, attempt, outcome) = (told.id, told.attempt, told.outcome);
+        core.send(
+            &told.to,
+            PeerMsg::HoldReply {
+                id,
+                attempt,
+                outcome,
+                pressure,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/src/request.rs
@@ -0,0 +1,199 @@
+//! One caller's request on its way through the stages.
+
+use std::time::Duration;
+
+use jacinthlever_types::{
+    Allocation, CellId, Class, CustomerId, InstanceId, RequestId, RouteId, Run, Verdict,
+};
+use slotmap::new_key_type;
+use smol_str::SmolStr;
+
+use crate::{CallId, CallerId, Inbound, Stage};
+
+new_key_type! {
+    /// Key of a request in the core's arena.
+    pub struct ReqKey;
+}
+
+/// A charge at the holder of the customer's slot.
+#[derive(Clone, Debug)]
+pub struct Charge {
+    /// Customer charged.
+    pub customer: CustomerId,
+    /// Upper bound of tokens.
+    pub tokens: u64,
+    /// Whether the holder has confirmed the charge.
+    pub confirmed: bool,
+    /// When the holder is asked again.
+    pub ask_at: Duration,
+    /// What the holder answered last, for the refusal if time runs out.
+    pub last_denial: Option<Verdict>,
+}
+
+/// A claim of an idempotency key.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// Customer of the key; empty on open routes.
+    pub customer: CustomerId,
+    /// The key.
+    pub key: SmolStr,
+    /// Whether the key is claimed at the slot holder rather than in the table.
+    pub ticketed: bool,
+    /// Whether this request holds the claim.
+    pub granted: bool,
+    /// Table version of the claim's row, once written by this instance.
+    pub version: u64,
+    /// When the claim is tried again.
+    pub ask_at: Duration,
+    /// Whether an operation on the claim is under way.
+    pub busy: bool,
+    /// The claim of an earlier, equal call that has no outcome yet was seen.
+    pub seen_pending: bool,
+}
+
+/// Engines held, or asked for, at the keeper of a cell.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    /// The cell.
+    pub cell: CellId,
+    /// The instance asked.
+    pub keeper: InstanceId,
+    /// Whether the keeper has answered.
+    pub answered: bool,
+    /// When the keeper is asked again.
+    pub ask_at: Duration,
+    /// When engines were first asked for.
+    pub since: Duration,
+    /// The engines, once granted.
+    pub allocation: Option<Allocation>,
+}
+
+/// Which call to a backend server is under way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallKind {
+    /// A prefill.
+    Prefill,
+    /// A decode.
+    Decode,
+    /// A decode resumed after its stream broke.
+    Resume,
+    /// A call of a plain service.
+    Plain,
+}
+
+/// A call under way.
+#[derive(Clone, Copy, Debug)]
+pub struct Calling {
+    /// Number of the call.
+    pub call: CallId,
+    /// What it does.
+    pub kind: CallKind,
+    /// When it began.
+    pub since: Duration,
+}
+
+/// A caller's request and everything held for it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Name over the fleet.
+    pub id: RequestId,
+    /// The caller's connection.
+    pub caller: CallerId,
+    /// What is asked for.
+    pub inbound: Inbound,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// When it is given up if no backend server has started it.
+    pub deadline: Duration,
+    /// Stage that it is in.
+    pub stage: Stage,
+    /// Customer; `None` on open routes.
+    pub customer: Option<CustomerId>,
+    /// Route, once authenticated.
+    pub route: Option<RouteId>,
+    /// Scheduling class.
+    pub class: Class,
+    /// Upper bound of the prompt's tokens.
+    pub prompt_tokens: u64,
+    /// Most tokens of output.
+    pub max_tokens: u32,
+    /// Charge, if there is one.
+    pub charge: Option<Charge>,
+    /// Claim, if there is one.
+    pub claim: Option<Claim>,
+    /// Hold, if there is one.
+    pub hold: Option<Hold>,
+    /// Call, if one is under way.
+    pub calling: Option<Calling>,
+    /// Attempts at backend servers so far.
+    pub attempt: u32,
+    /// Whether a backend server may have started the request.
+    pub run: Run,
+    /// Whether it ran on a backend server that crashed.
+    pub suspect: bool,
+    /// Times that a broken decode stream was resumed on its engine.
+    pub resumes: u32,
+    /// Backend servers of plain services that failed this request.
+    pub avoid: Vec<SmolStr>,
+    /// Tokens of prompt as counted by the engine.
+    pub counted_prompt: Option<u32>,
+    /// Tokens of output handed to the caller.
+    pub position: u32,
+    /// When the first token came.
+    pub first_token: Option<Duration>,
+    /// Whether the current prefill's result is not decoded from yet.
+    pub unused_prefill: bool,
+}
+
+impl Request {
+    /// Makes a request that has just arrived.
+    pub fn new(id: RequestId, caller: CallerId, inbound: Inbound, now: Duration) -> Self {
+        Self {
+            id,
+            caller,
+            inbound,
+            arrived: now,
+            deadline: now,
+            stage: Stage::Authenticate,
+            customer: None,
+            route: None,
+            class: Class::Patient,
+            prompt_tokens: 0,
+            max_tokens: 0,
+            charge: None,
+            claim: None,
+            hold: None,
+            calling: None,
+            attempt: 0,
+            run: Run::NotRun,
+            suspect: false,
+            resumes: 0,
+            avoid: Vec::new(),
+            counted_prompt: None,
+            position: 0,
+            first_token: None,
+            unused_prefill: false,
+        }
+    }
+
+    /// Returns the name of the current attempt at a backend server.
+    pub fn attempt_name(&self) -> SmolStr {
+        self.id.attempt(self.attempt)
+    }
+
+    /// Returns the tokens that the request has used.
+    pub fn used_tokens(&self) -> u64 {
+        match self.run {
+            Run::NotRun => 0,
+            Run::MayHaveRun => {
+                let prompt = self.counted_prompt.map_or(self.prompt_tokens, u64::from);
+                prompt + u64::from(self.position)
+            }
+        }
+    }
+
+    /// Returns the tokens of the prompt that the next prefill must process.
+    pub fn prefill_tokens(&self) -> u64 {
+        self.prompt_tokens + u64::from(self.position)
+    }
+}
--- /dev/null
+++ b/crates/core/src/slots.rs
@@ -0,0 +1,134 @@
+//! Which instance holds the limits of which customers; see `docs/design/limits.md`.
+
+use std::collections::BTreeMap;
+
+use jacinthlever_types::{Condition, CustomerId, Fingerprint, InstanceId, TableRow, Write};
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::BucketRecord;
+
+/// Number of slots; many more than instances, so that each gets an even part.
+pub const SLOT_COUNT: u32 = 256;
+
+/// Prefix of all slot rows in the table service.
+pub const SLOT_PREFIX: &str = "fleet/slot/";
+
+/// Number of a slot, below [`SLOT_COUNT`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct SlotId(pub u32);
+
+impl SlotId {
+    /// Returns the slot of a customer.
+    pub fn of(customer: &CustomerId) -> Self {
+        let hash = Fingerprint::of(&[b"slot", customer.as_str().as_bytes()]).0;
+        Self((hash % u64::from(SLOT_COUNT)) as u32)
+    }
+
+    /// Returns the key of the slot's row.
+    pub fn row_key(self) -> SmolStr {
+        format_smolstr!("{SLOT_PREFIX}{:04}", self.0)
+    }
+
+    /// Returns the text that rendezvous hashing places the slot by.
+    pub fn hash_key(self) -> SmolStr {
+        format_smolstr!("slot-{}", self.0)
+    }
+}
+
+/// A slot as it stands in the table.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct SlotRecord {
+    /// Holder; `None` after a release.
+    pub holder: Option<InstanceId>,
+    /// Incarnation of the holder.
+    pub incarnation: u64,
+    /// Grows with every change of holder.
+    pub epoch: u64,
+    /// Highest epoch whose holder went without handing over.
+    pub unclean_through: u64,
+    /// Buckets that a release handed over; customers not named had full ones.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub buckets: BTreeMap<CustomerId, BucketRecord>,
+}
+
+#[derive(Debug, Default)]
+struct Slot {
+    version: u64,
+    record: SlotRecord,
+}
+
+/// All slots as last read or written.
+#[derive(Debug)]
+pub struct SlotMap {
+    slots: Vec<Slot>,
+}
+
+impl Default for SlotMap {
+    fn default() -> Self {
+        Self {
+            slots: (0..SLOT_COUNT).map(|_| Slot::default()).collect(),
+        }
+    }
+}
+
+impl SlotMap {
+    /// Takes in a slot row; returns the slot if the row is news.
+    pub fn see(&mut self, row: &TableRow) -> Option<SlotId> {
+        let number: u32 = row.key.strip_prefix(SLOT_PREFIX)?.parse().ok()?;
+        let slot = self.slots.get_mut(number as usize)?;
+        if row.version <= slot.version {
+            return None;
+        }
+        slot.version = row.version;
+        let record = row
+            .value
+            .as_ref()
+            .and_then(|value| SlotRecord::deserialize(value).ok());
+        slot.record = record.unwrap_or_default();
+        Some(SlotId(number))
+    }
+
+    /// Returns all slots with their records.
+    pub fn iter(&self) -> impl Iterator<Item = (SlotId, &SlotRecord)> {
+        self.slots
+            .iter()
+            .enumerate()
+            .map(|(i, slot)| (SlotId(i as u32), &slot.record))
+    }
+
+    /// Returns a slot's record.
+    pub fn record(&self, slot: SlotId) -> &SlotRecord {
+        &self.slots[slot.0 as usize].record
+    }
+
+    /// Returns a slot's holder.
+    pub fn holder(&self, slot: SlotId) -> Option<&InstanceId> {
+        self.record(slot).holder.as_ref()
+    }
+
+    /// Returns the slots that an instance holds, under any incarnation.
+    pub fn held_by(&self, instance: &InstanceId) -> Vec<SlotId> {
+        let held = self
+            .iter()
+            .filter(|(_, record)| record.holder.as_ref() == Some(instance));
+        held.map(|(slot, _)| slot).collect()
+    }
+
+    /// Returns the condition that a slot is as last seen.
+    pub fn condition(&self, slot: SlotId) -> Condition {
+        Condition {
+            key: slot.row_key(),
+            version: self.slots[slot.0 as usize].version,
+        }
+    }
+
+    /// Returns the write that puts a record into a slot's row.
+    pub fn write(slot: SlotId, record: &SlotRecord) -> Write {
+        Write {
+            key: slot.row_key(),
+            value: serde_json::to_value(record).ok(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/wards.rs
@@ -0,0 +1,133 @@
+//! Leases of other instances, and when they may be taken over; see `docs/design/leases.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use jacinthlever_types::{Condition, InstanceId};
+
+use crate::CoreSettings;
+use crate::lease::{LeaseRecord, row_key};
+
+#[derive(Debug)]
+struct Ward {
+    version: u64,
+    record: LeaseRecord,
+    /// When this version was first seen, on this instance's clock.
+    first_seen: Duration,
+}
+
+/// The leases of other instances, as this instance has seen them.
+#[derive(Debug)]
+pub struct Wards {
+    own: InstanceId,
+    term: Duration,
+    margin: Duration,
+    cap: Duration,
+    wards: BTreeMap<InstanceId, Ward>,
+    promised_until: BTreeMap<InstanceId, Duration>,
+    taking: BTreeSet<InstanceId>,
+}
+
+impl Wards {
+    /// Makes an empty set.
+    pub fn new(settings: &CoreSettings) -> Self {
+        Self {
+            own: settings.instance.clone(),
+            term: settings.lease_term,
+            margin: settings.lease_margin(),
+            cap: settings.promise_cap,
+            wards: BTreeMap::new(),
+            promised_until: BTreeMap::new(),
+            taking: BTreeSet::new(),
+        }
+    }
+
+    /// Takes in a lease row that was read; `None` for a deleted one.
+    pub fn see(
+        &mut self,
+        instance: &InstanceId,
+        version: u64,
+        record: Option<LeaseRecord>,
+        now: Duration,
+    ) {
+        if self
+            .wards
+            .get(instance)
+            .is_some_and(|ward| ward.version >= version)
+        {
+            return;
+        }
+        match record {
+            Some(record) => {
+                self.wards.insert(
+                    instance.clone(),
+                    Ward {
+                        version,
+                        record,
+                        first_seen: now,
+                    },
+                );
+            }
+            None => {
+                self.wards.remove(instance);
+            }
+        }
+    }
+
+    /// Promises not to take an instance's slots for one term; false if a take may be under way.
+    pub fn promise(&mut self, instance: &InstanceId, now: Duration) -> bool {
+        if self.taking.contains(instance) {
+            return false;
+        }
+        self.promised_until
+            .insert(instance.clone(), now + self.term + self.margin);
+        true
+    }
+
+    /// Returns the instances whose lease has lapsed for certain and that this one may take over.
+    pub fn lapsed(&self, now: Duration) -> Vec<InstanceId> {
+        self.wards
+            .iter()
+            .filter(|(instance, ward)| self.may_take(instance, ward, now))
+            .map(|(instance, _)| instance.clone())
+            .collect()
+    }
+
+    /// Marks a take as under way; returns the condition that the lease was not renewed.
+    pub fn start_take(&mut self, instance: &InstanceId) -> Option<Condition> {
+        let version = self.wards.get(instance)?.version;
+        self.taking.insert(instance.clone());
+        Some(Condition {
+            key: row_key(instance),
+            version,
+        })
+    }
+
+    /// Marks a take as ended, with a known outcome.
+    pub fn end_take(&mut self, instance: &InstanceId) {
+        self.taking.remove(instance);
+    }
+
+    /// Returns the lease record of an instance.
+    pub fn record(&self, instance: &InstanceId) -> Option<&LeaseRecord> {
+        self.wards.get(instance).map(|ward| &ward.record)
+    }
+
+    fn may_take(&self, instance: &InstanceId, ward: &Ward, now: Duration) -> bool {
+        if *instance == self.own || self.taking.contains(instance) {
+            return false;
+        }
+        let is_heir = ward.record.heirs.contains(&self.own);
+        let wait = if is_heir {
+            self.term
+        } else {
+            self.cap + self.term
+        };
+        let promised = self
+            .promised_until
+            .get(instance)
+            .copied()
+            .unwrap_or_default();
+        now >= ward.first_seen + wait + self.margin && now >= promised
+    }
+}
--- /dev/null
+++ b/crates/types/src/verdict.rs
@@ -0,0 +1,180 @@
+//! The verdict on a request that was not answered: why, and whether it may have run.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Whether a backend server may have started the request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Run {
+    /// No backend server saw any byte of the request.
+    NotRun,
+    /// Some backend server may have acted on the request.
+    MayHaveRun,
+}
+
+/// Stable reason codes; callers may match on their text.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Code {
+    /// The request showed no key and its route is not open.
+    KeyMissing,
+    /// The key is in no row of the table, or was withdrawn.
+    KeyUnknown,
+    /// The key was withdrawn while the request was running.
+    KeyWithdrawn,
+    /// The route exists but is not granted to the customer of the key.
+    RouteForbidden,
+    /// No route matches the path.
+    RouteUnknown,
+    /// No row names the model.
+    ModelUnknown,
+    /// The body is not the JSON that the route takes.
+    BodyMalformed,
+    /// The body or the head is larger than the set limit.
+    TooLarge,
+    /// The prompt with its output does not fit the model's context.
+    ContextExceeded,
+    /// A field has a value out of its range.
+    FieldInvalid,
+    /// The head or the body did not arrive in time.
+    ReadTimeout,
+    /// The customer is over its rate or burst.
+    RateLimited,
+    /// The holder of the customer's limit cannot be reached.
+    LimitUnavailable,
+    /// No engine can serve the request within its deadline.
+    Overloaded,
+    /// The instance is shutting down and takes no new work.
+    Draining,
+    /// The instance is cut off from the table and from its peers.
+    CutOff,
+    /// A request equal to this one has crashed two backend servers.
+    CrashSuspect,
+    /// The backend servers failed, and no attempt is left.
+    BackendFailed,
+    /// No backend server of the service is alive.
+    BackendMissing,
+    /// An equal idempotency key is claimed by an attempt that has no recorded outcome.
+    ClaimPending,
+    /// The idempotency key was used before with another request.
+    ClaimMismatch,
+    /// The table service did not settle the claim in time.
+    ClaimUnsettled,
+    /// The caller went away.
+    CallerGone,
+}
+
+impl Code {
+    /// Returns the HTTP status that goes with the code.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::KeyMissing | Self::KeyUnknown | Self::KeyWithdrawn => 401,
+            Self::RouteForbidden => 403,
+            Self::RouteUnknown | Self::ModelUnknown => 404,
+            Self::ReadTimeout => 408,
+            Self::ClaimPending | Self::ClaimMismatch => 409,
+            Self::TooLarge => 413,
+            Self::BodyMalformed | Self::ContextExceeded | Self::FieldInvalid => 400,
+            Self::CrashSuspect => 422,
+            Self::RateLimited => 429,
+            Self::CallerGone => 499,
+            Self::BackendFailed => 502,
+            Self::LimitUnavailable
+            | Self::Overloaded
+            | Self::Draining
+            | Self::CutOff
+            | Self::BackendMissing
+            | Self::ClaimUnsettled => 503,
+        }
+    }
+
+    /// Returns the code as callers see it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::KeyMissing => "key_missing",
+            Self::KeyUnknown => "key_unknown",
+            Self::KeyWithdrawn => "key_withdrawn",
+            Self::RouteForbidden => "route_forbidden",
+            Self::RouteUnknown => "route_unknown",
+            Self::ModelUnknown => "model_unknown",
+            Self::BodyMalformed => "body_malformed",
+            Self::TooLarge => "too_large",
+            Self::ContextExceeded => "context_exceeded",
+            Self::FieldInvalid => "field_invalid",
+            Self::ReadTimeout => "read_timeout",
+            Self::RateLimited => "rate_limited",
+            Self::LimitUnavailable => "limit_unavailable",
+            Self::Overloaded => "overloaded",
+            Self::Draining => "draining",
+            Self::CutOff => "cut_off",
+            Self::CrashSuspect => "crash_suspect",
+            Self::BackendFailed => "backend_failed",
+            Self::BackendMissing => "backend_missing",
+            Self::ClaimPending => "claim_pending",
+            Self::ClaimMismatch => "claim_mismatch",
+            Self::ClaimUnsettled => "claim_unsettled",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+}
+
+/// The final answer to a request that gets no result.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Verdict {
+    /// Why there is no result.
+    pub code: Code,
+    /// Whether a backend server may have started the request.
+    pub run: Run,
+    /// One sentence for a person.
+    pub message: SmolStr,
+    /// When sending again is worth while.
+    pub retry_after: Option<Duration>,
+}
+
+impl Verdict {
+    /// Makes a verdict on a request that no backend server saw.
+    pub fn not_run(code: Code, message: impl AsRef<str>) -> Self {
+        Self {
+            code,
+            run: Run::NotRun,
+            message: SmolStr::new(message),
+            retry_after: None,
+        }
+    }
+
+    /// Makes a verdict on a request that a backend server may have started.
+    pub fn may_have_run(code: Code, message: impl AsRef<str>) -> Self {
+        Self {
+            run: Run::MayHaveRun,
+            ..Self::not_run(code, message)
+        }
+    }
+
+    /// Adds the time after which sending again is worth while.
+    pub fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// Returns the JSON body that callers see.
+    pub fn to_json(&self) -> serde_json::Value {
+        serde_json::json!({"error": {
+            "code": self.code.as_str(),
+            "run": self.run,
+            "message": self.message,
+            "retry_after_ms": self.retry_after.map(|wait| wait.as_millis() as u64),
+        }})
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.code.as_str(), self.message)
+    }
+}
+
+impl std::error::Error for Verdict {}
