--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,75 @@
+//! The jacinthlever daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use bpaf::{Parser, construct, long, positional};
+use jacinthlever_daemon::{Daemon, Settings};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Exit code when the settings are wrong.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Exit code when the instance could not be started.
+const EXIT_START: u8 = 1;
+
+struct Options {
+    check: bool,
+    settings: PathBuf,
+}
+
+fn options() -> Options {
+    let check = long("check").help("Only check the settings file").switch();
+    let settings = positional::<PathBuf>("SETTINGS").help("Settings file in JSON");
+    let about = "Runs one instance of the jacinthlever router until SIGTERM or SIGINT drains it";
+    construct!(Options { check, settings })
+        .to_options()
+        .descr(about)
+        .run()
+}
+
+fn main() -> ExitCode {
+    let options = options();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let settings = match Settings::read(&options.settings) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            errors.iter().for_each(|error| eprintln!("{error}"));
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.check {
+        println!("{}: ok", options.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    // An instance with a dead thread must not look alive to its peers.
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        std::process::abort();
+    }));
+    match run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}: {error}", options.settings.display());
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn run(settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let daemon = Arc::new(Daemon::spawn(settings)?);
+    let draining = daemon.clone();
+    std::thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            for _ in signals.forever() {
+                draining.drain();
+            }
+        })?;
+    daemon.wait();
+    Ok(())
+}
