--- a/crates/client/src/http.rs
+++ b/crates/client/src/http.rs
@@ -149,6 +149,15 @@
         Ok(success(response)?.json()?)
     }
 
+    /// Gets a JSON value with a caller's key.
+    ///
+    /// # Errors
+    /// See [`HttpError`].
+    pub fn get_with_key<T: DeserializeOwned>(&self, path: &str, key: &str) -> Result<T, HttpError> {
+        let response = self.request(Method::GET, path)?.bearer_auth(key).send()?;
+        Ok(success(response)?.json()?)
+    }
+
     /// Posts a JSON value and reads one back.
     ///
     /// # Errors
