--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -103,7 +103,11 @@
 
     /// Whether enough listed instances are heard to count as the larger part of the fleet.
     pub fn hears_majority(&self, own: &InstanceId, now: Duration) -> bool {
-        let others = self.listed.keys().filter(|id| *id != own);
+        // An instance that has drained serves nobody, so nothing hangs on what it knows.
+        let others = self
+            .listed
+            .keys()
+            .filter(|id| *id != own && !self.has_drained(id));
         let heard = others.clone().filter(|id| self.is_heard(id, now)).count();
         2 * (heard + 1) > others.count() + 1
     }
@@ -163,6 +167,12 @@
         }
     }
 
+    fn has_drained(&self, id: &InstanceId) -> bool {
+        self.members
+            .get(id)
+            .is_some_and(|member| member.status.draining)
+    }
+
     fn takes_work(&self, id: &InstanceId, directory: &Directory, now: Duration) -> bool {
         let entry = directory.get(id.as_str());
         if entry.is_none_or(|entry| entry.state == ListState::Leaving) {
--- a/crates/core/src/plugins/membership.rs
+++ b/crates/core/src/plugins/membership.rs
@@ -50,7 +50,9 @@
     if core.now < began + linger || !core.requests.is_empty() {
         return;
     }
-    let handed_over = core.limiter.slots().next().is_none() && core.claims.all_recorded();
+    let nobody_left = core.members.active().is_empty();
+    let released = nobody_left || core.limiter.slots().next().is_none();
+    let handed_over = released && core.claims.all_recorded();
     if handed_over || core.now >= began + HAND_OVER {
         core.stopped = true;
         let instance = core.settings.instance.clone();
--- a/crates/core/src/plugins/operator.rs
+++ b/crates/core/src/plugins/operator.rs
@@ -92,6 +92,7 @@
         "running": core.running(),
         "revision": core.config.revision(),
         "lease_valid": core.lease.is_valid(now),
+        "held_slots": core.held_slots(),
         "table_silent_ms": core.table.silence(now).as_millis() as u64,
         "cut_off": core.table.cut_off,
         "instances": instances,
