--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use jacinthlever_types::{
-    Class, CustomerId, FinishReason, InstanceId, KvSource, PeerMsg, RecordedOutcome, Transaction,
-    Verdict,
+    Class, CustomerId, FinishReason, InstanceId, KvSource, PeerMsg, RecordedOutcome, RequestId,
+    Transaction, Verdict,
 };
 use smol_str::SmolStr;
 
@@ -129,6 +129,13 @@
     BetweenTokens(Duration),
     /// Tokens that a request used.
     Tokens(u64),
+    /// The holder of the customer's limit charged a request.
+    Charged {
+        /// The request.
+        id: RequestId,
+        /// Upper bound of its tokens.
+        tokens: u64,
+    },
     /// A request ended; the code is empty for an answer in full.
     Ended(&'static str),
     /// Prompt tokens that were prefilled and never decoded from.
--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -105,7 +105,7 @@
         self.level(now) >= self.burst && self.pending.is_empty()
     }
 
-    /// Charges `tokens` to the request, once for each id.
+    /// Charges `tokens` to the request, once for each id; returns whether it was charged now.
     ///
     /// # Errors
     /// Returns the time until the bucket holds enough, or `None` if it never can.
@@ -114,9 +114,9 @@
         id: &RequestId,
         tokens: u64,
         now: Duration,
-    ) -> Result<(), Option<Duration>> {
+    ) -> Result<bool, Option<Duration>> {
         if self.pending.contains_key(id) {
-            return Ok(());
+            return Ok(false);
         }
         self.refill(now);
         let tokens = tokens as f64;
@@ -137,7 +137,7 @@
                 peak: self.level,
             },
         );
-        Ok(())
+        Ok(true)
     }
 
     /// Settles a charge with the tokens that were used; an unknown id is ignored.
--- a/crates/core/src/limiter.rs
+++ b/crates/core/src/limiter.rs
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Charges a customer.
+    /// Charges a customer; returns whether the request was charged now and not before.
     ///
     /// # Errors
     /// Says why nothing was charged.
@@ -115,7 +115,7 @@
         id: &RequestId,
         tokens: u64,
         now: Duration,
-    ) -> Result<(), ChargeDenied> {
+    ) -> Result<bool, ChargeDenied> {
         let held = self
             .held
             .get_mut(&SlotId::of(customer))
--- a/crates/core/src/plugins/limit_holder.rs
+++ b/crates/core/src/plugins/limit_holder.rs
@@ -1,14 +1,15 @@
 //! The other end of stage 2: buckets and crash counts of the customers held here.
 
 use jacinthlever_types::{
-    ChargeDenied, CustomerId, Fingerprint, InstanceId, PeerMsg, RequestId, Transaction, Write,
+    ChargeDenied, Class, CustomerId, Fingerprint, InstanceId, PeerMsg, RequestId, Transaction,
+    Write,
 };
 use serde::Deserialize;
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::slots::SlotId;
-use crate::{Core, PlatformOp, PlatformReply, Plugin};
+use crate::{Core, PlatformOp, PlatformReply, Plugin, Sample};
 
 inventory::submit! {
     Plugin { peer: Some(peer), tick: Some(tick), ..Plugin::named("limit-holder") }
@@ -97,10 +98,19 @@
         .ok_or(ChargeDenied::NotHolder)?;
     core.suspects.admit(customer, fingerprint, id, core.now)?;
     let charged = core.limiter.charge(customer, &limits, id, tokens, core.now);
-    if charged.is_err() {
-        core.suspects.ended(customer, fingerprint, id);
+    match charged {
+        Err(denied) => {
+            core.suspects.ended(customer, fingerprint, id);
+            return Err(denied);
+        }
+        Ok(false) => {}
+        Ok(true) => {
+            let id = id.clone();
+            let sample = Sample::Charged { id, tokens };
+            core.measure_for(customer.clone(), Class::default(), sample);
+        }
     }
-    charged
+    Ok(())
 }
 
 fn record_crash(core: &mut Core, customer: &CustomerId, fingerprint: Fingerprint) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -83,6 +83,7 @@
     tokens: Histogram<u64>,
     ended: Counter<u64>,
     wasted_prefill: Counter<u64>,
+    charged: Counter<u64>,
 }
 
 impl Instruments {
@@ -115,6 +116,10 @@
                 .with_boundaries(TOKEN_BOUNDS.to_vec())
                 .build(),
             ended: counter("jacinthlever_requests", "Requests that have ended, by code"),
+            charged: counter(
+                "jacinthlever_charged_tokens",
+                "Tokens charged at admission by the holder of a customer's limit",
+            ),
             wasted_prefill: counter(
                 "jacinthlever_wasted_prefill_tokens",
                 "Prompt tokens that were prefilled and never decoded from",
@@ -140,6 +145,7 @@
             Sample::BetweenTokens(time) => self.between_tokens.record(seconds(time), labels),
             Sample::Tokens(tokens) => self.tokens.record(tokens, labels),
             Sample::WastedPrefill(tokens) => self.wasted_prefill.add(tokens, labels),
+            Sample::Charged { tokens, .. } => self.charged.add(tokens, labels),
             Sample::Ended(code) => {
                 let code = if code.is_empty() { "answered" } else { code };
                 let labels = [labels, &[KeyValue::new("code", code)]].concat();
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,30 @@
+//! Small fakes at the decision core's interfaces, on a virtual clock.
+//!
+//! A [`World`] runs several cores against one fake table, list, engines and workers. Everything
+//! follows from a seed, and nothing reads a real clock, so a run gives the same figures anywhere.
+
+mod audit;
+mod engine;
+mod invariants;
+mod naive;
+mod network;
+mod node;
+mod outcome;
+mod platform;
+mod script;
+mod setup;
+mod worker;
+mod world;
+
+pub use audit::{LimitAudit, Overrun};
+pub use engine::{EngineFaults, EngineSpec, FakeEngine};
+pub use invariants::broken_promises;
+pub use naive::NaiveRouter;
+pub use network::Network;
+pub use node::{Node, Router};
+pub use outcome::{End, Outcome};
+pub use platform::TableFaults;
+pub use script::Script;
+pub use setup::{CustomerSetup, Deployment};
+pub use worker::FakeWorker;
+pub use world::{OnPeerMessage, RouterKind, World};
--- /dev/null
+++ b/crates/fakes/src/naive.rs
@@ -0,0 +1,313 @@
+//! The naive router that the core is measured against.
+//!
+//! It takes engines in turn, gives each instance one part in n of every limit, holds nothing before
+//! it prefills, and sends a failed request again from its start.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jacinthlever_core::{
+    Action, Bucket, Call, CallFault, CallId, CallResult, CallerId, Event, Inbound, Reply, Target,
+};
+use jacinthlever_types::{
+    Code, CustomerId, CustomerRow, EngineRole, InstanceId, KeyHash, KvSource, ListEntry, ListKind,
+    ListState, RequestId, Verdict,
+};
+use smol_str::{SmolStr, format_smolstr};
+
+/// Engines tried for one request.
+const TRIES: u32 = 2;
+
+/// Bytes of prompt that one token stands for.
+const TOKEN_BYTES: usize = 4;
+
+#[derive(Debug)]
+struct NaiveRequest {
+    id: RequestId,
+    customer: Option<CustomerId>,
+    inbound: Inbound,
+    tries: u32,
+    attempt: u32,
+    source: Option<KvSource>,
+    max_tokens: u32,
+}
+
+/// A naive router.
+#[derive(Debug)]
+pub struct NaiveRouter {
+    own: InstanceId,
+    now: Duration,
+    keys: BTreeMap<KeyHash, CustomerId>,
+    limits: BTreeMap<CustomerId, CustomerRow>,
+    buckets: BTreeMap<CustomerId, Bucket>,
+    entries: BTreeMap<SmolStr, ListEntry>,
+    requests: BTreeMap<CallerId, NaiveRequest>,
+    calls: BTreeMap<CallId, CallerId>,
+    next: u64,
+    turn: usize,
+    actions: Vec<Action>,
+}
+
+impl NaiveRouter {
+    /// Makes one of `count` routers with the customers' keys and limits.
+    pub fn new(
+        own: &str,
+        count: usize,
+        keys: BTreeMap<KeyHash, CustomerId>,
+        limits: BTreeMap<CustomerId, CustomerRow>,
+    ) -> Self {
+        let part = 1.0 / count as f64;
+        let limits: BTreeMap<CustomerId, CustomerRow> = limits
+            .into_iter()
+            .map(|(id, row)| {
+                let (rate, burst) = (row.rate * part, row.burst * part);
+                (id, CustomerRow { rate, burst, ..row })
+            })
+            .collect();
+        Self {
+            own: InstanceId::new(own),
+            now: Duration::ZERO,
+            keys,
+            limits,
+            buckets: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next: 0,
+            turn: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    pub(crate) fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        self.now = now;
+        match event {
+            Event::Arrived { caller, inbound } => self.arrived(caller, inbound),
+            Event::CallerGone(caller) => {
+                self.requests.remove(&caller);
+            }
+            Event::Call { call, result } => self.result(call, result),
+            Event::List(delta) => {
+                self.entries
+                    .extend(delta.entries.into_iter().map(|e| (e.id.clone(), e)));
+                delta.removed.iter().for_each(|id| {
+                    self.entries.remove(id);
+                });
+            }
+            _ => {}
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    fn arrived(&mut self, caller: CallerId, inbound: Inbound) {
+        let customer = inbound.key.and_then(|key| self.keys.get(&key).cloned());
+        self.next += 1;
+        let id = RequestId {
+            instance: self.own.clone(),
+            incarnation: 1,
+            number: self.next,
+        };
+        let (tokens, max_tokens) = match &inbound.target {
+            Target::Model {
+                prompt_bytes,
+                max_tokens,
+                ..
+            } => {
+                let max = max_tokens.unwrap_or(128);
+                (
+                    prompt_bytes.div_ceil(TOKEN_BYTES) as u64 + u64::from(max),
+                    max,
+                )
+            }
+            _ => (0, 0),
+        };
+        if let Some(customer) = &customer
+            && let Some(limits) = self.limits.get(customer)
+        {
+            let now = self.now;
+            let bucket = self
+                .buckets
+                .entry(customer.clone())
+                .or_insert_with(|| Bucket::full(limits, now));
+            if bucket.charge(&id, tokens, now).is_err() {
+                return self.refuse(
+                    caller,
+                    Verdict::not_run(Code::RateLimited, "over the limit"),
+                );
+            }
+            let sample = jacinthlever_core::Sample::Charged {
+                id: id.clone(),
+                tokens,
+            };
+            let (customer, class) = (customer.clone(), Default::default());
+            self.actions.push(Action::Measure {
+                customer,
+                class,
+                sample,
+            });
+        }
+        let request = NaiveRequest {
+            id,
+            customer,
+            inbound,
+            tries: 0,
+            attempt: 0,
+            source: None,
+            max_tokens,
+        };
+        self.requests.insert(caller, request);
+        self.start(caller);
+    }
+
+    /// Sends a request to the next engine or worker, from its beginning.
+    fn start(&mut self, caller: CallerId) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        request.tries += 1;
+        request.attempt += 1;
+        request.source = None;
+        let attempt = request.id.attempt(request.attempt);
+        match &request.inbound.target {
+            Target::Model { .. } => {
+                let call = Call::Prefill { caller, attempt };
+                self.call_next(caller, |kind| is_engine(kind, EngineRole::Prefill), call);
+            }
+            Target::Plain { path, .. } => {
+                let service = service_of(path);
+                let call = Call::Plain { caller, attempt };
+                self.call_next(
+                    caller,
+                    move |kind| matches!(kind, ListKind::Service { service: s } if *s == service),
+                    call,
+                );
+            }
+            Target::Models | Target::Where => {
+                let reply = Reply::Json(serde_json::Value::Null);
+                self.finish(caller, reply, 0);
+            }
+        }
+    }
+
+    fn call_next(&mut self, caller: CallerId, fits: impl Fn(&ListKind) -> bool, call: Call) {
+        let live = self
+            .entries
+            .values()
+            .filter(|e| e.state == ListState::Live && fits(&e.kind));
+        let live: Vec<&ListEntry> = live.collect();
+        if live.is_empty() {
+            let verdict = Verdict::not_run(Code::BackendMissing, "nothing listed");
+            return self.refuse(caller, verdict);
+        }
+        self.turn += 1;
+        let address = live[self.turn % live.len()].address.clone();
+        self.call(caller, address, call);
+    }
+
+    fn call(&mut self, caller: CallerId, address: SmolStr, request: Call) {
+        self.next += 1;
+        let call = CallId(self.next);
+        self.calls.insert(call, caller);
+        self.actions.push(Action::Call {
+            call,
+            address,
+            request,
+        });
+    }
+
+    fn result(&mut self, call: CallId, result: CallResult) {
+        let Some(caller) = self.calls.get(&call).copied() else {
+            return;
+        };
+        if !matches!(result, CallResult::FirstToken | CallResult::Harmless) {
+            self.calls.remove(&call);
+        }
+        match result {
+            CallResult::Prefilled { kv, .. } => self.decode(caller, kv),
+            CallResult::Decoded { finish, position } => {
+                let reply = Reply::Finished {
+                    finish,
+                    prompt_tokens: 0,
+                    output_tokens: position,
+                };
+                self.finish(caller, reply, position);
+            }
+            CallResult::Plain(response) => self.finish(caller, Reply::Plain(response), 0),
+            CallResult::Failed { fault, .. } => self.failed(caller, fault),
+            _ => {}
+        }
+    }
+
+    fn decode(&mut self, caller: CallerId, kv: SmolStr) {
+        let Some(request) = self.requests.get_mut(&caller) else {
+            return;
+        };
+        let engine = kv.rsplit_once("-kv").map_or("", |(engine, _)| engine);
+        let Some(address) = self.entries.get(engine).map(|entry| entry.address.clone()) else {
+            return;
+        };
+        let source = KvSource { address, kv };
+        request.source = Some(source.clone());
+        let attempt = request.id.attempt(request.attempt);
+        let max_tokens = request.max_tokens;
+        let call = Call::Decode {
+            caller,
+            attempt,
+            source,
+            max_tokens,
+            priority: 0,
+        };
+        self.call_next(caller, |kind| is_engine(kind, EngineRole::Decode), call);
+    }
+
+    fn failed(&mut self, caller: CallerId, fault: CallFault) {
+        let Some(request) = self.requests.get(&caller) else {
+            return;
+        };
+        if request.tries < TRIES {
+            return self.start(caller);
+        }
+        let code = if fault == CallFault::Full {
+            Code::Overloaded
+        } else {
+            Code::BackendFailed
+        };
+        let message = format_smolstr!("{fault:?}");
+        self.refuse(caller, Verdict::may_have_run(code, message));
+    }
+
+    fn finish(&mut self, caller: CallerId, reply: Reply, output: u32) {
+        if let Some(request) = self.requests.remove(&caller) {
+            let bucket = request
+                .customer
+                .and_then(|customer| self.buckets.get_mut(&customer));
+            if let (Some(bucket), Target::Model { prompt_bytes, .. }) =
+                (bucket, &request.inbound.target)
+            {
+                let used = prompt_bytes.div_ceil(TOKEN_BYTES) as u64 + u64::from(output);
+                bucket.settle(&request.id, used, self.now);
+            }
+        }
+        self.actions.push(Action::Reply { caller, reply });
+    }
+
+    fn refuse(&mut self, caller: CallerId, verdict: Verdict) {
+        self.requests.remove(&caller);
+        self.actions.push(Action::Reply {
+            caller,
+            reply: Reply::Refused(verdict),
+        });
+    }
+}
+
+fn is_engine(kind: &ListKind, wanted: EngineRole) -> bool {
+    matches!(kind, ListKind::Engine { role, .. } if *role == wanted)
+}
+
+/// Returns the service that the deployments route a path to.
+fn service_of(path: &str) -> SmolStr {
+    match path.starts_with("/donations") || path.starts_with("/catalogue") {
+        true => SmolStr::new_static("library"),
+        false => SmolStr::new_static("scheduling"),
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 mod server;
 mod service;
 mod table;
+mod table_state;
 mod text;
 
 pub use engine::EngineStandin;
@@ -23,5 +24,6 @@
 pub use program::{ProgramError, read_settings, run_until_killed};
 pub use server::{Exchange, Server, ServerRequest};
 pub use service::{ServiceRun, ServiceStandin};
-pub use table::{TableCounts, TableStandin};
+pub use table::TableStandin;
+pub use table_state::{TableCounts, TableState};
 pub use text::{answer_length, answer_token, expected_answer, prompt_seed};
--- a/crates/standins/src/table.rs
+++ b/crates/standins/src/table.rs
@@ -1,90 +1,21 @@
 //! Stand-in of the transactional table service.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use jacinthlever_types::{Conflict, RowsReply, TableRow, Transaction, TransactionReply};
+use jacinthlever_types::{Transaction, TransactionReply};
 use serde_json::Value;
 use smol_str::SmolStr;
 
 use crate::faults::{Faults, SharedFaults};
 use crate::server::lock;
-use crate::{Exchange, Server, ServerRequest};
-
-/// Operations served so far.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct TableCounts {
-    /// Reads.
-    pub reads: u64,
-    /// Transactions.
-    pub writes: u64,
-}
-
-#[derive(Debug, Default)]
-struct Table {
-    revision: u64,
-    rows: BTreeMap<SmolStr, (u64, Option<Value>)>,
-    counts: TableCounts,
-}
-
-impl Table {
-    fn transact(&mut self, transaction: Transaction) -> TransactionReply {
-        self.counts.writes += 1;
-        let conflicts: Vec<Conflict> = transaction
-            .conditions
-            .iter()
-            .filter_map(|condition| {
-                let (version, value) = self.current(&condition.key);
-                (version != condition.version).then(|| Conflict {
-                    key: condition.key.clone(),
-                    version,
-                    value,
-                })
-            })
-            .collect();
-        if !conflicts.is_empty() {
-            return TransactionReply::Conflicts(conflicts);
-        }
-        self.revision += 1;
-        for write in transaction.writes {
-            self.rows.insert(write.key, (self.revision, write.value));
-        }
-        TransactionReply::Committed(self.revision)
-    }
-
-    /// Returns version and value of a row; a deleted row has version 0 as one that never was.
-    fn current(&self, key: &SmolStr) -> (u64, Option<Value>) {
-        match self.rows.get(key) {
-            Some((version, Some(value))) => (*version, Some(value.clone())),
-            _ => (0, None),
-        }
-    }
-
-    fn rows(&mut self, prefix: &str, after: u64) -> RowsReply {
-        self.counts.reads += 1;
-        let below = self.rows.range(SmolStr::new(prefix)..);
-        let below = below.take_while(|(key, _)| key.starts_with(prefix));
-        let changed = below.filter(|(_, (version, _))| *version > after);
-        // A first read needs no rows that are gone.
-        let wanted = changed.filter(|(_, (_, value))| after > 0 || value.is_some());
-        let rows = wanted.map(|(key, (version, value))| TableRow {
-            key: key.clone(),
-            version: *version,
-            value: value.clone(),
-        });
-        RowsReply {
-            revision: self.revision,
-            rows: rows.collect(),
-        }
-    }
-}
+use crate::{Exchange, Server, ServerRequest, TableCounts, TableState};
 
 /// A running table service.
 #[derive(Clone)]
 pub struct TableStandin {
-    table: Arc<Mutex<Table>>,
+    table: Arc<Mutex<TableState>>,
     faults: SharedFaults,
     server: Server,
 }
@@ -95,7 +26,7 @@
     /// # Errors
     /// Fails if the address cannot be bound.
     pub fn spawn(address: &str) -> io::Result<Self> {
-        let table: Arc<Mutex<Table>> = Arc::default();
+        let table: Arc<Mutex<TableState>> = Arc::default();
         let faults = SharedFaults::default();
         let (shared, on) = (table.clone(), faults.clone());
         let server = Server::spawn(address, move |request, exchange| {
@@ -142,7 +73,7 @@
 }
 
 fn serve(
-    table: &Mutex<Table>,
+    table: &Mutex<TableState>,
     faults: &SharedFaults,
     request: &ServerRequest,
     exchange: &mut Exchange,
