--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -189,7 +189,18 @@
         let Some(key) = self.by_id.get(id).copied() else {
             return;
         };
-        let Some(engine) = self.engines.get_mut(&self.holds[key].decode) else {
+        let hold = &mut self.holds[key];
+        if hold.phase == Phase::Queued {
+            return;
+        }
+        if hold.phase == Phase::Prefill {
+            // The message that the prefill is done was lost.
+            hold.phase = Phase::Decode;
+            if let Some(engine) = self.engines.get_mut(&hold.prefill) {
+                engine.release(key);
+            }
+        }
+        let Some(engine) = self.engines.get_mut(&hold.decode) else {
             return;
         };
         engine.cleared(key);
@@ -237,6 +248,16 @@
         self.pump(now);
     }
 
+    /// Returns the requests that hold engines, by their instances.
+    pub fn holders(&self) -> BTreeMap<InstanceId, Vec<RequestId>> {
+        let mut holders: BTreeMap<InstanceId, Vec<RequestId>> = BTreeMap::new();
+        for hold in self.holds.values() {
+            let requests = holders.entry(hold.from.clone()).or_default();
+            requests.push(hold.request.id.clone());
+        }
+        holders
+    }
+
     /// Drops the holds of instances that are lost.
     pub fn forget(&mut self, is_lost: impl Fn(&RequestId) -> bool, now: Duration) {
         let lost: Vec<HoldKey> = self
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -202,7 +202,12 @@
         inbound: Inbound,
     },
     /// A caller went away.
-    CallerGone(CallerId),
+    CallerGone {
+        /// The caller's request.
+        caller: CallerId,
+        /// Tokens of output that it had been handed.
+        position: u32,
+    },
     /// A call to a backend server made progress.
     Call {
         /// The call.
--- a/crates/core/src/kernel.rs
+++ b/crates/core/src/kernel.rs
@@ -125,7 +125,7 @@
         match event {
             Event::Tick => self.tick(),
             Event::Arrived { caller, inbound } => self.arrived(caller, inbound),
-            Event::CallerGone(caller) => finish::caller_gone(self, caller),
+            Event::CallerGone { caller, position } => finish::caller_gone(self, caller, position),
             Event::Call { call, result } => dispatch::call_result(self, call, result),
             Event::Platform { op, result } => self.platform_result(op, result),
             Event::List(delta) => self.directory.apply(delta),
--- a/crates/core/src/plugins/finish.rs
+++ b/crates/core/src/plugins/finish.rs
@@ -37,7 +37,7 @@
 }
 
 /// Gives up the request of a caller that went away.
-pub(crate) fn caller_gone(core: &mut Core, caller: CallerId) {
+pub(crate) fn caller_gone(core: &mut Core, caller: CallerId, position: u32) {
     let Some(key) = core.by_caller.get(&caller).copied() else {
         return;
     };
@@ -46,6 +46,10 @@
         core.by_caller.remove(&caller);
         return;
     }
+    if let Some(request) = core.requests.get_mut(key) {
+        request.position = request.position.max(position);
+        request.position_known = true;
+    }
     core.measure(key, Sample::Ended(Code::CallerGone.as_str()));
     end(core, key, false);
 }
@@ -60,12 +64,13 @@
 fn end(core: &mut Core, key: ReqKey, answered: bool) {
     plain_call::abandoned(core, key);
     model_call::waste(core, key);
+    // What a decode under way has used is only known while it is.
+    limit::settle(core, key, answered);
     let calling = core.requests.get(key).and_then(|request| request.calling);
     if let Some(calling) = calling {
         model_call::cancel(core, key);
         core.calls.insert(calling.call, CallOwner::Nobody);
     }
-    limit::settle(core, key, answered);
     queue::release(core, key, HoldEnd::Done);
     if core
         .requests
--- a/crates/core/src/plugins/queue.rs
+++ b/crates/core/src/plugins/queue.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::request::Hold;
-use crate::{Core, Flow, Plugin, ReqKey, Sample, Stage, Target};
+use crate::{Core, Flow, Plugin, ReqKey, Request, Sample, Stage, Target};
 
 inventory::submit! {
     Plugin {
@@ -18,7 +18,7 @@
     }
 }
 
-/// Pause before a keeper that has not answered is asked again.
+/// Pause before a keeper is asked again, as any message may be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 
 /// Time after the deadline that the keeper has to tell of its refusal.
@@ -74,7 +74,7 @@
     }
     let cell = hold.cell.clone();
     let moved = core.keeper.keeper_of(&cell) != Some(&hold.keeper);
-    if moved || (!hold.answered && now >= hold.ask_at) {
+    if moved || now >= hold.ask_at {
         let since = hold.since;
         if moved {
             release(core, key, HoldEnd::Done);
@@ -115,7 +115,6 @@
     request.hold = Some(Hold {
         cell,
         keeper: keeper.clone(),
-        answered: false,
         ask_at: now + ASK_AGAIN,
         since,
         allocation: None,
@@ -134,10 +133,52 @@
             replied(core, from, &id, attempt, outcome, pressure);
             None
         }
+        PeerMsg::HoldCheck { cell, requests } => {
+            for id in requests {
+                check(core, from, &cell, id);
+            }
+            None
+        }
         other => Some(other),
     }
 }
 
+/// Tells the keeper of a hold whatever it may have missed.
+fn check(core: &mut Core, from: &InstanceId, cell: &CellId, id: RequestId) {
+    if !still_holds(core, from, cell, &id) {
+        return give_up(core, from, id, cell.clone());
+    }
+    let request = core.find(&id).and_then(|key| core.requests.get(key));
+    if request.is_some_and(Request::is_decoding) {
+        core.send(
+            from,
+            PeerMsg::Decoding {
+                id,
+                cell: cell.clone(),
+            },
+        );
+    }
+}
+
+fn still_holds(core: &Core, keeper: &InstanceId, cell: &CellId, id: &RequestId) -> bool {
+    let request = core.find(id).and_then(|key| core.requests.get(key));
+    let hold = request.and_then(|request| request.hold.as_ref());
+    hold.is_some_and(|hold| hold.keeper == *keeper && hold.cell == *cell)
+}
+
+fn give_up(core: &mut Core, keeper: &InstanceId, id: RequestId, cell: CellId) {
+    let end = HoldEnd::Done;
+    core.send(
+        keeper,
+        PeerMsg::Release {
+            id,
+            cell,
+            end,
+            unused_tokens: 0,
+        },
+    );
+}
+
 fn replied(
     core: &mut Core,
     from: &InstanceId,
@@ -159,14 +200,10 @@
     let Some(hold) = &mut request.hold else {
         return;
     };
-    hold.answered = true;
+    hold.ask_at = now + ASK_AGAIN;
     core.keeper.note_pressure(&hold.cell, pressure);
     match outcome {
-        HoldOutcome::Queued => {}
-        HoldOutcome::NotKeeper => {
-            hold.answered = false;
-            hold.ask_at = now + ASK_AGAIN;
-        }
+        HoldOutcome::Queued | HoldOutcome::NotKeeper => {}
         HoldOutcome::Granted(allocation) => {
             let waited = now.saturating_sub(hold.since);
             hold.allocation = Some(allocation);
@@ -217,14 +254,7 @@
     }
     let cells: Vec<CellId> = core.keeper.layout.cells().keys().cloned().collect();
     for cell in cells {
-        let end = HoldEnd::Done;
-        let msg = PeerMsg::Release {
-            id: id.clone(),
-            cell,
-            end,
-            unused_tokens: 0,
-        };
-        core.send(from, msg);
+        give_up(core, from, id.clone(), cell);
     }
 }
 
--- a/crates/core/src/plugins/scheduling.rs
+++ b/crates/core/src/plugins/scheduling.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use jacinthlever_types::{CellId, EngineId, EngineLoad, HoldOutcome, InstanceId, PeerMsg};
+use jacinthlever_types::{
+    CellId, EngineId, EngineLoad, HoldOutcome, InstanceId, PeerMsg, RequestId,
+};
 
 use crate::kernel::CallOwner;
 use crate::{Call, Cell, Core, Plugin};
@@ -11,6 +13,9 @@
     Plugin { peer: Some(peer), tick: Some(tick), ..Plugin::named("scheduling") }
 }
 
+/// Pause between two checks of the holds.
+const CHECK_HOLDS_EVERY: Duration = Duration::from_secs(5);
+
 /// Pause between two probes of an engine.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 
@@ -26,10 +31,28 @@
         probe(core);
         forget_lost(core);
     }
+    if core.now >= core.schedule.check_holds {
+        core.schedule.check_holds = core.now + CHECK_HOLDS_EVERY;
+        check_holds(core);
+    }
     core.keeper.pump(core.now);
     tell(core);
 }
 
+/// Asks every instance about its holds, as a release may have been lost.
+fn check_holds(core: &mut Core) {
+    let cells = core.keeper.cells.iter();
+    let asked: Vec<(CellId, InstanceId, Vec<RequestId>)> = cells
+        .flat_map(|(id, cell)| {
+            let holders = cell.holders().into_iter();
+            holders.map(|(instance, requests)| (id.clone(), instance, requests))
+        })
+        .collect();
+    for (cell, instance, requests) in asked {
+        core.send(&instance, PeerMsg::HoldCheck { cell, requests });
+    }
+}
+
 fn probe(core: &mut Core) {
     for (cell, engine, address) in core.keeper.probes() {
         core.call(address, Call::Load, CallOwner::Probe(cell, engine));
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -58,8 +58,6 @@
     pub cell: CellId,
     /// The instance asked.
     pub keeper: InstanceId,
-    /// Whether the keeper has answered.
-    pub answered: bool,
     /// When the keeper is asked again.
     pub ask_at: Duration,
     /// When engines were first asked for.
@@ -139,6 +137,8 @@
     pub counted_prompt: Option<u32>,
     /// Tokens of output handed to the caller.
     pub position: u32,
+    /// Whether `position` is exact although a decode is under way.
+    pub position_known: bool,
     /// When the first token came.
     pub first_token: Option<Duration>,
     /// Whether the current prefill's result is not decoded from yet.
@@ -171,6 +171,7 @@
             avoid: Vec::new(),
             counted_prompt: None,
             position: 0,
+            position_known: false,
             first_token: None,
             unused_prefill: false,
         }
@@ -181,15 +182,26 @@
         self.id.attempt(self.attempt)
     }
 
-    /// Returns the tokens that the request has used.
+    /// Returns the tokens that the request has used, at most.
     pub fn used_tokens(&self) -> u64 {
-        match self.run {
-            Run::NotRun => 0,
-            Run::MayHaveRun => {
-                let prompt = self.counted_prompt.map_or(self.prompt_tokens, u64::from);
-                prompt + u64::from(self.position)
-            }
+        if self.run == Run::NotRun {
+            return 0;
         }
+        let prompt = self.counted_prompt.map_or(self.prompt_tokens, u64::from);
+        // A decode that is cut short may have handed over any part of its output.
+        let exact = self.position_known || !self.is_decoding();
+        let output = if exact {
+            self.position
+        } else {
+            self.max_tokens
+        };
+        prompt + u64::from(output)
+    }
+
+    /// Whether a decode is under way.
+    pub fn is_decoding(&self) -> bool {
+        let kind = self.calling.map(|calling| calling.kind);
+        matches!(kind, Some(CallKind::Decode | CallKind::Resume))
     }
 
     /// Returns the tokens of the prompt that the next prefill must process.
--- a/crates/core/src/schedule.rs
+++ b/crates/core/src/schedule.rs
@@ -49,6 +49,8 @@
     pub beat: Duration,
     /// Next probe of engines.
     pub probe: Duration,
+    /// Next check of the holds of kept cells.
+    pub check_holds: Duration,
     /// Next look at slots to move.
     pub move_slots: Duration,
     /// Whether a move of slots is under way.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -39,7 +39,7 @@
             zone,
             caller_address,
             seed: 0,
-            lease_term: Duration::from_secs(4),
+            lease_term: Duration::from_secs(3),
             promise_cap: Duration::from_secs(12 * 60),
             poll_every: Duration::from_secs(1),
             beat_every: Duration::from_millis(500),
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -1,6 +1,6 @@
 //! Requests that crash backend servers; see `docs/design/poison-requests.md`.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use jacinthlever_types::{ChargeDenied, CustomerId, Fingerprint, RequestId};
@@ -11,6 +11,9 @@
 /// Time for which a crash is remembered after it was last asked about.
 const REMEMBER: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Time after which a copy whose end was not told counts as ended.
+const LONGEST_RUN: Duration = Duration::from_secs(15 * 60);
+
 /// Time for which harmless fingerprints are remembered.
 const REMEMBER_HARMLESS: Duration = Duration::from_secs(60);
 
@@ -18,7 +21,8 @@
 struct Suspicion {
     crashes: usize,
     harmless: bool,
-    running: BTreeSet<RequestId>,
+    /// When each running copy was admitted.
+    running: BTreeMap<RequestId, Duration>,
     touched: Duration,
 }
 
@@ -50,13 +54,13 @@
         }
         let others = entry
             .running
-            .iter()
+            .keys()
             .filter(|running| *running != id)
             .count();
         if !entry.harmless && entry.crashes + others >= MAX_CRASHES {
             return Err(ChargeDenied::Unproven);
         }
-        entry.running.insert(id.clone());
+        entry.running.insert(id.clone(), now);
         Ok(())
     }
 
@@ -114,7 +118,9 @@
     /// Forgets requests of lost instances and fingerprints that nobody asked about for long.
     pub fn expire(&mut self, is_lost: impl Fn(&RequestId) -> bool, now: Duration) {
         self.known.retain(|_, entry| {
-            entry.running.retain(|id| !is_lost(id));
+            entry
+                .running
+                .retain(|id, since| !is_lost(id) && now < *since + LONGEST_RUN);
             let keep = if entry.crashes > 0 {
                 REMEMBER
             } else {
--- /dev/null
+++ b/crates/core/tests/interleavings.rs
@@ -0,0 +1,200 @@
+//! Seeded random schedules of kills, freezes, cuts, losses and table faults.
+//!
+//! Each schedule drives a small fleet with customers over their rates and bookings sent several
+//! times, and then checks every promise. A failure names its seed; run one alone with
+//! `SEED=n cargo test -p jacinthlever-core --test interleavings`.
+
+use std::time::Duration;
+
+use jacinthlever_core::OperatorRequest;
+use jacinthlever_fakes::{Deployment, RouterKind, Script, TableFaults, World, broken_promises};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Schedules that the test runs.
+const SCHEDULES: u64 = 120;
+
+/// Time of one schedule.
+const LENGTH: Duration = Duration::from_secs(24);
+
+/// Time for everything to come to rest.
+const REST: Duration = Duration::from_secs(30);
+
+/// Clock drift between instances, in parts per million; far worse than quartz.
+const DRIFT_PPM: i64 = 2_000;
+
+fn seeds() -> Vec<u64> {
+    match std::env::var("SEED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+    {
+        Some(seed) => vec![seed],
+        None => (1..=SCHEDULES).collect(),
+    }
+}
+
+#[test]
+fn no_schedule_breaks_a_promise() {
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        let problems = run(seed);
+        if !problems.is_empty() {
+            broken.push(format!("seed {seed}: {}", problems.join("; ")));
+        }
+    }
+    assert!(
+        broken.is_empty(),
+        "{} schedules:\n{}",
+        broken.len(),
+        broken.join("\n")
+    );
+}
+
+fn run(seed: u64) -> Vec<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut deployment = Deployment::cuenca();
+    deployment.instances = 4;
+    deployment.prefills = 2;
+    deployment.decodes = 3;
+    // Small limits, so that every token counts.
+    for customer in &mut deployment.customers {
+        customer.rate = 2_000.0;
+        customer.burst = 4_000.0;
+    }
+    let mut world = World::new(deployment, RouterKind::Core, seed);
+    for node in 0..world.nodes.len() {
+        world.drift(node, rng.random_range(-DRIFT_PPM..=DRIFT_PPM));
+    }
+    assert!(world.settle(), "seed {seed} did not settle");
+    let start = world.now;
+    load(&mut world, &mut rng);
+    while world.now < start + LENGTH {
+        world.run_for(Duration::from_millis(rng.random_range(100..1_500)));
+        fault(&mut world, &mut rng);
+    }
+    mend(&mut world);
+    world.run_for(REST);
+    let mut problems = broken_promises(&mut world);
+    problems.extend(not_settled(&world));
+    problems
+}
+
+fn load(world: &mut World, rng: &mut ChaCha8Rng) {
+    let end = world.now + LENGTH;
+    let mut at = world.now;
+    let mut count = 0;
+    while at < end {
+        at += Duration::from_millis(rng.random_range(5..80));
+        count += 1;
+        let node = rng.random_range(0..world.nodes.len());
+        let content = count.to_string();
+        match rng.random_range(0..4) {
+            0 => {
+                let key = format!("booking-{count}");
+                for send in 0..rng.random_range(1..4) {
+                    let again = at + Duration::from_millis(rng.random_range(0..3_000) * send);
+                    let node = rng.random_range(0..world.nodes.len());
+                    let script = Script::plain("key-of-river", "/bookings/new", false, Some(&key));
+                    world.arrive_at(again, node, script.content(&content));
+                }
+            }
+            _ => {
+                let max = rng.random_range(10..200);
+                let length = rng.random_range(1..=max);
+                let mut script =
+                    Script::model("key-of-hill", rng.random_range(10..600), length, max);
+                if rng.random_range(0..8) == 0 {
+                    let after = rng.random_range(0..2_000);
+                    script.leaves_after = Some(Duration::from_millis(after));
+                }
+                world.arrive_at(at, node, script.content(&content));
+            }
+        }
+    }
+}
+
+fn fault(world: &mut World, rng: &mut ChaCha8Rng) {
+    let node = rng.random_range(0..world.nodes.len());
+    let is_up = world.nodes[node].router.is_some();
+    match rng.random_range(0..12) {
+        0 if is_up => world.kill(node),
+        1 if !is_up => world.restart(node),
+        2 if is_up => world.pause(node),
+        3 | 4 => thaw(world),
+        5 => {
+            world.table_faults = TableFaults {
+                down: rng.random_range(0..4) == 0,
+                slow: Duration::from_millis(rng.random_range(0..700)),
+                lost_replies_percent: rng.random_range(0..40),
+                late_writes_percent: rng.random_range(0..30),
+            };
+        }
+        6 => world.table_faults = TableFaults::default(),
+        7 => {
+            let other = rng.random_range(0..world.nodes.len());
+            let (a, b) = (world.nodes[node].id.clone(), world.nodes[other].id.clone());
+            world.network.cut(&a, &b);
+        }
+        8 => {
+            let id = world.nodes[node].id.clone();
+            world.network.cut(&id, "table");
+        }
+        9 => world.network.mend(),
+        10 => {
+            let id = format!("decode-{}", rng.random_range(0..3));
+            world.crash_engine(&id);
+        }
+        _ => {
+            for n in 0..3 {
+                world.restart_engine(&format!("decode-{n}"));
+            }
+            if rng.random_range(0..6) == 0 && is_up {
+                world.operate(node, OperatorRequest::Drain);
+            }
+        }
+    }
+}
+
+fn thaw(world: &mut World) {
+    for node in 0..world.nodes.len() {
+        if world.nodes[node].paused {
+            world.resume(node);
+        }
+    }
+}
+
+/// Ends every fault, so that the fleet must come to rest.
+fn mend(world: &mut World) {
+    thaw(world);
+    world.network.mend();
+    world.table_faults = TableFaults::default();
+    for node in 0..world.nodes.len() {
+        if world.nodes[node].router.is_none() || world.nodes[node].stopped {
+            world.restart(node);
+        }
+    }
+    for n in 0..3 {
+        world.restart_engine(&format!("decode-{n}"));
+    }
+}
+
+/// After all faults have ended, every slot has a holder and every living caller its answer.
+fn not_settled(world: &World) -> Vec<String> {
+    let mut problems = Vec::new();
+    let cores = world.nodes.iter().filter_map(|node| node.core());
+    let held: usize = cores.map(|core| core.held_slots()).sum();
+    // An instance that was draining when the faults ended has handed over by now.
+    if held != jacinthlever_core::SLOT_COUNT as usize {
+        problems.push(format!("{held} slots are held"));
+    }
+    let running: usize = world
+        .nodes
+        .iter()
+        .filter_map(|node| node.core())
+        .map(|core| core.running())
+        .sum();
+    if running > 0 {
+        problems.push(format!("{running} requests are still running"));
+    }
+    problems
+}
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -234,8 +234,10 @@
     }
 
     fn gone(&self, pending: &Pending) {
-        // Without the core the instance is ending, and so is every request.
-        let _ = self.events.send(Event::CallerGone(pending.caller));
+        if let Some(event) = self.registry.gone(pending.caller) {
+            // Without the core the instance is ending, and so is every request.
+            let _ = self.events.send(event);
+        }
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -155,9 +155,10 @@
     };
     let (registry, events) = (callers.registry.clone(), callers.events.clone());
     let (gate, listener) = Gate::spawn(settings.caller_address, limits, move |connection| {
-        if let Some(caller) = registry.of_connection(connection) {
+        let caller = registry.of_connection(connection);
+        if let Some(event) = caller.and_then(|caller| registry.gone(caller)) {
             // Without the core the instance is ending, and so is every request.
-            let _ = events.try_send(Event::CallerGone(caller));
+            let _ = events.try_send(event);
         }
     })?;
     callers.spawn(listener, settings.max_requests)?;
--- a/crates/daemon/src/in_flight.rs
+++ b/crates/daemon/src/in_flight.rs
@@ -7,7 +7,7 @@
 
 use crossbeam::channel::{Receiver, SendTimeoutError, Sender, bounded};
 use jacinthlever_client::ServiceCall;
-use jacinthlever_core::{CallerId, Reply};
+use jacinthlever_core::{CallerId, Event, Reply};
 use smol_str::SmolStr;
 
 /// Tokens that may wait for a slow caller.
@@ -76,6 +76,13 @@
         lock(&self.answer).position
     }
 
+    /// Takes no more tokens; returns how many were handed over.
+    fn close(&self) -> u32 {
+        let mut answer = lock(&self.answer);
+        answer.attempt = SmolStr::default();
+        answer.position
+    }
+
     /// Hands a token to the caller if it is the next one of the current attempt.
     pub fn accept(&self, attempt: &SmolStr, position: u32, token: &SmolStr) -> Accepted {
         {
@@ -158,6 +165,13 @@
         lock(&self.connections).get(&connection).copied()
     }
 
+    /// Stops handing tokens to a caller that left; returns what the core must know.
+    pub fn gone(&self, caller: CallerId) -> Option<Event> {
+        let request = lock(&self.requests).remove(&caller)?;
+        let position = request.close();
+        Some(Event::CallerGone { caller, position })
+    }
+
     /// Whether no connection waits for an answer.
     pub fn is_idle(&self) -> bool {
         lock(&self.connections).is_empty()
--- a/crates/fakes/src/audit.rs
+++ b/crates/fakes/src/audit.rs
@@ -24,7 +24,6 @@
 struct Charge {
     customer: CustomerId,
     at: Duration,
-    charged: u64,
     used: Option<u64>,
 }
 
@@ -37,11 +36,10 @@
 
 impl LimitAudit {
     /// Notes a charge; a repeated one counts once.
-    pub fn charged(&mut self, customer: CustomerId, id: SmolStr, tokens: u64, at: Duration) {
+    pub fn charged(&mut self, customer: CustomerId, id: SmolStr, at: Duration) {
         let charge = Charge {
             customer,
             at,
-            charged: tokens,
             used: None,
         };
         self.charges.entry(id).or_insert(charge);
@@ -80,8 +78,8 @@
         for charge in charges {
             excess = (excess - rate * (charge.at - last).as_secs_f64()).max(0.0);
             last = charge.at;
-            // What is not known to be unused counts as used.
-            excess += charge.used.unwrap_or(charge.charged) as f64;
+            // A request of which nothing is known reached no engine.
+            excess += charge.used.unwrap_or_default() as f64;
             if excess > burst + EPSILON_TOKENS {
                 let customer = customer.clone();
                 return Some(Overrun {
--- a/crates/fakes/src/invariants.rs
+++ b/crates/fakes/src/invariants.rs
@@ -1,7 +1,6 @@
 //! What must hold of every run of a world, whatever failed in it.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use jacinthlever_core::{CallerId, Target};
 use jacinthlever_types::CustomerId;
@@ -9,9 +8,6 @@
 
 use crate::{End, Outcome, World};
 
-/// Time in which engine memory of an ended request must be free.
-const FREED_AFTER: Duration = Duration::from_secs(2);
-
 /// Returns a line for each promise that the run has broken.
 pub fn broken_promises(world: &mut World) -> Vec<String> {
     world.settle_audit();
@@ -78,13 +74,7 @@
 }
 
 fn freed_memory(world: &World) -> Vec<String> {
-    let held = world.held();
-    held.into_iter()
-        .filter(|caller| {
-            let outcome = world.outcome(*caller);
-            let ended = outcome.ended.into_iter().chain(outcome.left).min();
-            ended.is_some_and(|at| world.now > at + FREED_AFTER)
-        })
-        .map(|caller| format!("{caller:?} has ended and holds engine memory"))
+    let late = world.held_too_long.iter();
+    late.map(|caller| format!("{caller:?} held engine memory for too long"))
         .collect()
 }
--- a/crates/fakes/src/naive.rs
+++ b/crates/fakes/src/naive.rs
@@ -83,7 +83,7 @@
         self.now = now;
         match event {
             Event::Arrived { caller, inbound } => self.arrived(caller, inbound),
-            Event::CallerGone(caller) => {
+            Event::CallerGone { caller, .. } => {
                 self.requests.remove(&caller);
             }
             Event::Call { call, result } => self.result(call, result),
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -44,6 +44,9 @@
 /// Time in which a plain service must answer.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time in which engine memory of an ended request must be free.
+const FREED_AFTER: Duration = Duration::from_secs(2);
+
 /// Position at which a shell reports a request as harmless.
 const HARMLESS_AT: u32 = 32;
 
@@ -75,6 +78,7 @@
     Step(SmolStr, u64),
     Timeout(SmolStr, u64, SmolStr),
     WorkerDone(SmolStr, CallId),
+    CheckFreed(CallerId),
 }
 
 /// Cores, fakes and a virtual clock.
@@ -103,13 +107,16 @@
     pub operator_replies: BTreeMap<OperatorId, (Duration, OperatorReply)>,
     /// Prompt tokens whose prefill no decode used.
     pub wasted_prefill: u64,
+    /// Requests that held engine memory too long after they had ended or their caller had left.
+    pub held_too_long: Vec<CallerId>,
+    /// When the load of a scenario began.
+    pub load_began: Duration,
     /// Messages between instances.
     pub peer_messages: u64,
     /// Called with every message between instances.
     pub on_peer_message: Option<OnPeerMessage>,
     deployment: Deployment,
     kind: RouterKind,
-    lease_term: Duration,
     objects: BTreeMap<SmolStr, Value>,
     list: BTreeMap<SmolStr, (u64, Duration, Option<ListEntry>)>,
     list_revision: u64,
@@ -138,10 +145,11 @@
             log: Vec::new(),
             operator_replies: BTreeMap::new(),
             wasted_prefill: 0,
+            held_too_long: Vec::new(),
+            load_began: Duration::ZERO,
             peer_messages: 0,
             on_peer_message: None,
             kind,
-            lease_term: Duration::from_secs(4),
             objects: BTreeMap::new(),
             list: BTreeMap::new(),
             list_revision: 0,
@@ -441,7 +449,6 @@
                 let settings = CoreSettings {
                     incarnation,
                     seed: self.rng.next_u64(),
-                    lease_term: self.lease_term,
                     max_requests: 100_000,
                     ..CoreSettings::new(
                         InstanceId(id.clone()),
@@ -527,6 +534,11 @@
             Happening::Step(engine, life) => self.step(&engine, life),
             Happening::Timeout(engine, life, attempt) => self.timed_out(&engine, life, &attempt),
             Happening::WorkerDone(worker, call) => self.worker_done(&worker, call),
+            Happening::CheckFreed(caller) => {
+                if self.held().contains(&caller) {
+                    self.held_too_long.push(caller);
+                }
+            }
         }
     }
 
@@ -573,9 +585,9 @@
 
     fn measured(&mut self, customer: CustomerId, sample: Sample) {
         match sample {
-            Sample::Charged { id, tokens } => {
+            Sample::Charged { id, .. } => {
                 self.audit
-                    .charged(customer, format_smolstr!("{id}"), tokens, self.now);
+                    .charged(customer, format_smolstr!("{id}"), self.now);
             }
             Sample::WastedPrefill(tokens) => self.wasted_prefill += tokens,
             _ => {}
@@ -722,11 +734,13 @@
     fn left(&mut self, caller: CallerId) {
         let outcome = &self.outcomes[&caller];
         let (node, running) = (outcome.node, outcome.end.is_none());
+        let position = outcome.tokens;
         if running {
             if let Some(outcome) = self.outcomes.get_mut(&caller) {
                 outcome.left = Some(self.now);
             }
-            self.handle(node, Event::CallerGone(caller));
+            self.schedule(self.now + FREED_AFTER, Happening::CheckFreed(caller));
+            self.handle(node, Event::CallerGone { caller, position });
         }
     }
 
@@ -736,6 +750,10 @@
             return;
         };
         outcome.answers += 1;
+        self.schedule(now + FREED_AFTER, Happening::CheckFreed(caller));
+        let Some(outcome) = self.outcomes.get_mut(&caller) else {
+            return;
+        };
         outcome.ended.get_or_insert(now);
         outcome.end.get_or_insert(match reply {
             Reply::Refused(verdict) => End::Refused(verdict),
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -345,6 +345,13 @@
         /// Cell of the hold.
         cell: CellId,
     },
+    /// Asks an instance which of its holds at the sender it still has; it releases the others.
+    HoldCheck {
+        /// Cell of the holds.
+        cell: CellId,
+        /// Requests that hold engines at the sender.
+        requests: Vec<RequestId>,
+    },
     /// Gives up a hold.
     Release {
         /// The caller's request.
