Mend requests that waited for a keeper that never came; frozen instances in the memory check

The last instance now keeps cells while it drains, and a request without a hold asks again until its deadline.

--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -57,6 +57,9 @@
         active: &[InstanceId],
         directory: &Directory,
     ) -> Vec<LogEvent> {
+        // The last instance, draining or not, still ends the requests that it has accepted.
+        let last = [own.clone()];
+        let active = if active.is_empty() { &last } else { active };
         if self.generation == Some(directory.generation()) && self.active == active {
             return Vec::new();
         }
--- a/crates/core/src/kernel.rs
+++ b/crates/core/src/kernel.rs
@@ -145,6 +145,14 @@
         self.requests.len()
     }
 
+    /// Describes the requests that are not answered yet, for tests that find them stuck.
+    pub fn describe_running(&self) -> Vec<String> {
+        self.requests
+            .values()
+            .map(|request| format!("{request:?}"))
+            .collect()
+    }
+
     /// Returns the configuration revision in force.
     pub fn revision(&self) -> u64 {
         self.config.revision()
--- a/crates/core/src/plugins/queue.rs
+++ b/crates/core/src/plugins/queue.rs
@@ -66,12 +66,13 @@
     let Some(request) = core.requests.get(key) else {
         return Flow::Done;
     };
-    let Some(hold) = &request.hold else {
-        return Flow::Wait;
-    };
     if now >= request.deadline + GRACE {
         return Flow::Refuse(unavailable(core, key, "no engine was free in time"));
     }
+    let Some(hold) = &request.hold else {
+        // No instance kept the cell when it was asked for.
+        return retry_cell(core, key);
+    };
     let cell = hold.cell.clone();
     let moved = core.keeper.keeper_of(&cell) != Some(&hold.keeper);
     if moved || now >= hold.ask_at {
@@ -84,6 +85,21 @@
     Flow::Wait
 }
 
+fn retry_cell(core: &mut Core, key: ReqKey) -> Flow {
+    let Some(request) = core.requests.get(key) else {
+        return Flow::Done;
+    };
+    let Target::Model { model, .. } = &request.inbound.target else {
+        return Flow::Next;
+    };
+    let (model, since) = (model.clone(), request.arrived);
+    let random = core.random();
+    if let Some(cell) = core.keeper.choose(&model, random) {
+        ask(core, key, cell, since);
+    }
+    Flow::Wait
+}
+
 fn ask(core: &mut Core, key: ReqKey, cell: CellId, since: Duration) {
     let now = core.now;
     let Some(keeper) = core.keeper.keeper_of(&cell).cloned() else {
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -534,11 +534,18 @@
             Happening::Step(engine, life) => self.step(&engine, life),
             Happening::Timeout(engine, life, attempt) => self.timed_out(&engine, life, &attempt),
             Happening::WorkerDone(worker, call) => self.worker_done(&worker, call),
-            Happening::CheckFreed(caller) => {
-                if self.held().contains(&caller) {
-                    self.held_too_long.push(caller);
-                }
-            }
+            Happening::CheckFreed(caller) => self.check_freed(caller),
+        }
+    }
+
+    fn check_freed(&mut self, caller: CallerId) {
+        if !self.held().contains(&caller) {
+            return;
+        }
+        match self.nodes[self.outcomes[&caller].node].paused {
+            // Nothing of a frozen process runs; the time counts from its thaw.
+            true => self.schedule(self.now + FREED_AFTER, Happening::CheckFreed(caller)),
+            false => self.held_too_long.push(caller),
         }
     }
 
