--- a/crates/core/tests/interleavings.rs
+++ b/crates/core/tests/interleavings.rs
@@ -29,10 +29,18 @@
         .and_then(|text| text.parse().ok())
     {
         Some(seed) => vec![seed],
-        None => (1..=SCHEDULES).collect(),
+        None => (1..=schedules()).collect(),
     }
 }
 
+/// Returns the number of schedules; `SCHEDULES=n` runs more of them than CI does.
+fn schedules() -> u64 {
+    let wanted = std::env::var("SCHEDULES")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    wanted.unwrap_or(SCHEDULES)
+}
+
 #[test]
 fn no_schedule_breaks_a_promise() {
     let mut broken = Vec::new();
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -6,11 +6,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use jacinthlever_core::{CallerId, OperatorRequest};
+use jacinthlever_core::{CallerId, OperatorRequest, RowChange};
 use jacinthlever_fakes::{
     Deployment, EngineFaults, RouterKind, Script, TableFaults, World, broken_promises,
 };
-use jacinthlever_types::KeyHash;
+use jacinthlever_types::{KeyHash, RowKey, RowKind};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
@@ -104,6 +104,8 @@
     Leave(SmolStr),
     Write(SmolStr, Option<Value>),
     Withdraw(SmolStr),
+    /// Withdraws a customer's key by an edit through an instance.
+    WithdrawThrough(usize, SmolStr),
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -311,6 +313,21 @@
         Do::Withdraw(customer) => {
             let hash = KeyHash::of(&format!("key-of-{customer}")).to_hex();
             world.write_rows(vec![(format!("config/key/{hash}").into(), None)]);
+            world
+                .withdrawn
+                .insert(format!("key-of-{customer}").into(), world.now);
+        }
+        Do::WithdrawThrough(node, customer) => {
+            let key = format!("key-of-{customer}");
+            let row = RowKey::new(RowKind::Key, KeyHash::of(&key).to_hex());
+            let changes = vec![RowChange {
+                key: row,
+                version: None,
+                value: None,
+            }];
+            let edit = format!("withdraw-{customer}").into();
+            world.operate(*node, OperatorRequest::Edit { edit, changes });
+            world.withdrawn.insert(key.into(), world.now);
         }
         Do::Write(key, value) => world.write_rows(vec![(key.clone(), value.clone())]),
     }
--- a/crates/fakes/src/invariants.rs
+++ b/crates/fakes/src/invariants.rs
@@ -1,6 +1,7 @@
 //! What must hold of every run of a world, whatever failed in it.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use jacinthlever_core::{CallerId, Target};
 use jacinthlever_types::CustomerId;
@@ -18,6 +19,30 @@
     broken.extend(single_runs(world));
     broken.extend(limits(world));
     broken.extend(freed_memory(world));
+    broken.extend(withdrawn_keys(world));
+    broken.extend(world.late_work.clone());
+    broken
+}
+
+/// Time in which an accepted edit is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// After a withdrawal is in force the key gets no result and no token.
+fn withdrawn_keys(world: &World) -> Vec<String> {
+    let mut broken = Vec::new();
+    for (caller, outcome) in &world.outcomes {
+        let Some(withdrawn) = world.withdrawn.get(&outcome.script.key) else {
+            continue;
+        };
+        let until = *withdrawn + IN_FORCE;
+        let has_result = outcome.end.is_some() && outcome.verdict().is_none();
+        let served = has_result && outcome.ended.is_some_and(|at| at > until);
+        if served || outcome.last_token.is_some_and(|at| at > until) {
+            broken.push(format!(
+                "{caller:?} was served with a withdrawn key: {outcome:?}"
+            ));
+        }
+    }
     broken
 }
 
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -44,6 +44,9 @@
 /// Time in which a plain service must answer.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which a leaving machine gets no new work.
+const LEFT_AFTER: Duration = Duration::from_secs(3);
+
 /// Time in which engine memory of an ended request must be free.
 const FREED_AFTER: Duration = Duration::from_secs(2);
 
@@ -107,6 +110,10 @@
     pub operator_replies: BTreeMap<OperatorId, (Duration, OperatorReply)>,
     /// Prompt tokens whose prefill no decode used.
     pub wasted_prefill: u64,
+    /// Keys that were withdrawn, and when the withdrawal was accepted.
+    pub withdrawn: BTreeMap<SmolStr, Duration>,
+    /// New work that leaving machines got too late, as lines for people.
+    pub late_work: Vec<String>,
     /// Requests that held engine memory too long after they had ended or their caller had left.
     pub held_too_long: Vec<CallerId>,
     /// When the load of a scenario began.
@@ -115,6 +122,8 @@
     pub peer_messages: u64,
     /// Called with every message between instances.
     pub on_peer_message: Option<OnPeerMessage>,
+    /// When listed machines began to leave.
+    left_at: BTreeMap<SmolStr, Duration>,
     deployment: Deployment,
     kind: RouterKind,
     objects: BTreeMap<SmolStr, Value>,
@@ -145,6 +154,9 @@
             log: Vec::new(),
             operator_replies: BTreeMap::new(),
             wasted_prefill: 0,
+            withdrawn: BTreeMap::new(),
+            late_work: Vec::new(),
+            left_at: BTreeMap::new(),
             held_too_long: Vec::new(),
             load_began: Duration::ZERO,
             peer_messages: 0,
@@ -311,6 +323,7 @@
     /// Marks a listed machine as leaving.
     pub fn leave(&mut self, id: &str) {
         let entry = self.list.get(id).and_then(|(_, _, entry)| entry.clone());
+        self.left_at.insert(SmolStr::new(id), self.now);
         if let Some(entry) = entry {
             self.put_listed(ListEntry {
                 state: ListState::Leaving,
@@ -792,6 +805,7 @@
             let position = self.position_of(&request);
             return self.fail(node, call, fault, position, wait);
         }
+        self.note_late_work(&address, &request);
         let incarnation = self.nodes[node].incarnation;
         let job = |caller, attempt| EngineCall {
             node,
@@ -847,6 +861,17 @@
         }
     }
 
+    fn note_late_work(&mut self, address: &SmolStr, request: &Call) {
+        let is_new = matches!(request, Call::Prefill { .. } | Call::Plain { .. });
+        let left = self.left_at.get(address).filter(|_| is_new);
+        if let Some(left) = left.filter(|left| self.now > **left + LEFT_AFTER) {
+            self.late_work.push(format!(
+                "{address} left at {left:?}, got work at {:?}",
+                self.now
+            ));
+        }
+    }
+
     /// Remembers which request serves a caller, from the name of its attempt.
     fn name(&mut self, caller: CallerId, attempt: &SmolStr) {
         if let Some((name, _)) = attempt.rsplit_once('-') {
