--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -172,6 +172,11 @@
         }
     }
 
+    /// Returns the heirs of the renewal last confirmed.
+    pub fn heirs(&self) -> &[InstanceId] {
+        self.record.as_ref().map_or(&[], |record| &record.heirs)
+    }
+
     /// Returns the renewal number last confirmed.
     pub fn renewal_number(&self) -> u64 {
         self.record.as_ref().map_or(0, |record| record.renewal)
--- a/crates/core/src/plugins/lease.rs
+++ b/crates/core/src/plugins/lease.rs
@@ -33,6 +33,9 @@
     }
     if now >= core.schedule.renew && !core.schedule.renewing {
         renew(core);
+    } else if choose_heirs(core) != core.lease.heirs() {
+        // Without living heirs nobody could take over, or promise not to.
+        core.schedule.renew = core.schedule.renew.min(now + RENEW_AGAIN);
     }
     // Promises are only needed when a renewal is late.
     let late = core.settings.renew_every() + core.settings.renew_every() / 3;
--- a/crates/core/src/plugins/plain_call.rs
+++ b/crates/core/src/plugins/plain_call.rs
@@ -40,6 +40,7 @@
         return Flow::Refuse(no_worker(request.run, &service));
     };
     let (worker, address) = (worker.id.clone(), worker.address.clone());
+    request.run_before_call = request.run;
     request.run = Run::MayHaveRun;
     request.attempt += 1;
     request.avoid.push(worker.clone());
@@ -116,8 +117,8 @@
     let Some(request) = core.requests.get_mut(key) else {
         return;
     };
-    if unsent && request.attempt == 1 {
-        request.run = Run::NotRun;
+    if unsent {
+        request.run = request.run_before_call;
     }
     let may_repeat = unsent || is_repeatable(core, key);
     let Some(request) = core.requests.get_mut(key) else {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -127,6 +127,8 @@
     pub attempt: u32,
     /// Whether a backend server may have started the request.
     pub run: Run,
+    /// What `run` was before the call under way began.
+    pub run_before_call: Run,
     /// Whether it ran on a backend server that crashed.
     pub suspect: bool,
     /// Times that a broken decode stream was resumed on its engine.
@@ -166,6 +168,7 @@
             calling: None,
             attempt: 0,
             run: Run::NotRun,
+            run_before_call: Run::NotRun,
             suspect: false,
             resumes: 0,
             avoid: Vec::new(),
--- /dev/null
+++ b/crates/core/tests/configuration.rs
@@ -0,0 +1,261 @@
+//! Edits of the configuration: races, lost replies, restarts, and when they are in force.
+
+use std::time::Duration;
+
+use jacinthlever_core::{OperatorId, OperatorReply, OperatorRequest, RowChange};
+use jacinthlever_fakes::{Deployment, Node, RouterKind, Script, TableFaults, World};
+use jacinthlever_types::{RowKey, RowKind};
+use serde_json::{Value, json};
+
+/// Time in which an accepted edit must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+fn world(seed: u64) -> World {
+    let mut world = World::new(Deployment::cuenca(), RouterKind::Core, seed);
+    assert!(world.settle());
+    world
+}
+
+fn hill() -> RowKey {
+    RowKey::new(RowKind::Customer, "hill")
+}
+
+fn limits(rate: f64) -> Value {
+    json!({"rate": rate, "burst": 1_000.0, "weight": 1.0})
+}
+
+fn edit(world: &mut World, node: usize, id: &str, version: Option<u64>, rate: f64) -> OperatorId {
+    let change = RowChange {
+        key: hill(),
+        version,
+        value: Some(limits(rate)),
+    };
+    world.operate(
+        node,
+        OperatorRequest::Edit {
+            edit: id.into(),
+            changes: vec![change],
+        },
+    )
+}
+
+fn reply(world: &World, operator: OperatorId) -> Option<&OperatorReply> {
+    world
+        .operator_replies
+        .get(&operator)
+        .map(|(_, reply)| reply)
+}
+
+fn revision(world: &World, operator: OperatorId) -> u64 {
+    match reply(world, operator) {
+        Some(OperatorReply::Json(body)) => body["revision"].as_u64().expect("a revision"),
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+fn everywhere(world: &World, revision: u64) -> bool {
+    let mut cores = world.nodes.iter().filter_map(Node::core);
+    cores.all(|core| core.revision() >= revision)
+}
+
+fn rate_in_table(world: &World) -> Value {
+    let (_, value) = world.table.current(&hill().table_key());
+    value.expect("the row exists")["rate"].clone()
+}
+
+#[test]
+fn two_operators_racing_on_a_row_get_one_success_and_one_conflict_that_shows_both() {
+    for seed in 1..=10 {
+        let mut world = world(seed);
+        let (version, _) = world.table.current(&hill().table_key());
+        let one = edit(&mut world, 0, "one", Some(version), 111.0);
+        let other = edit(&mut world, 3, "other", Some(version), 222.0);
+        world.run_for(IN_FORCE);
+        let replies = [reply(&world, one), reply(&world, other)];
+        let accepted = replies
+            .iter()
+            .filter(|r| matches!(r, Some(OperatorReply::Json(_))))
+            .count();
+        assert_eq!(accepted, 1, "seed {seed}: {replies:?}");
+        let conflict = replies.into_iter().flatten().find_map(|reply| match reply {
+            OperatorReply::Conflict(rows) => Some(rows["conflicts"][0].clone()),
+            _ => None,
+        });
+        let conflict = conflict.expect("a conflict");
+        assert_eq!(conflict["row"], json!("customer/hill"));
+        assert_eq!(conflict["theirs"]["rate"], rate_in_table(&world));
+        assert_ne!(conflict["yours"]["rate"], conflict["theirs"]["rate"]);
+    }
+}
+
+#[test]
+fn racing_edits_of_different_rows_are_both_accepted() {
+    let mut world = world(1);
+    let one = edit(&mut world, 0, "one", None, 111.0);
+    let change = RowChange {
+        key: RowKey::new(RowKind::Customer, "river"),
+        version: None,
+        value: Some(limits(222.0)),
+    };
+    let request = OperatorRequest::Edit {
+        edit: "other".into(),
+        changes: vec![change],
+    };
+    let other = world.operate(3, request);
+    world.run_for(IN_FORCE);
+    assert_ne!(revision(&world, one), revision(&world, other));
+}
+
+#[test]
+fn a_lost_reply_is_settled_without_a_second_write() {
+    let mut world = world(2);
+    world.table_faults.lost_replies_percent = 100;
+    let operator = edit(&mut world, 1, "once", None, 111.0);
+    world.run_for(Duration::from_millis(600));
+    world.table_faults = TableFaults::default();
+    world.run_for(IN_FORCE);
+    let (version, _) = world.table.current(&hill().table_key());
+    assert_eq!(
+        revision(&world, operator),
+        version,
+        "the first write is the accepted one"
+    );
+    assert!(everywhere(&world, version));
+}
+
+#[test]
+fn an_edit_that_is_sent_again_is_accepted_as_the_same() {
+    let mut world = world(3);
+    let first = edit(&mut world, 0, "same", None, 111.0);
+    world.run_for(IN_FORCE);
+    let between = edit(&mut world, 0, "later", None, 333.0);
+    world.run_for(IN_FORCE);
+    let again = edit(&mut world, 4, "same", None, 111.0);
+    world.run_for(IN_FORCE);
+    assert_eq!(revision(&world, first), revision(&world, again));
+    assert!(revision(&world, between) > revision(&world, first));
+    assert_eq!(
+        rate_in_table(&world),
+        json!(333.0),
+        "the repeat must not undo the later edit"
+    );
+}
+
+#[test]
+fn an_edit_that_does_not_check_is_refused_with_the_row() {
+    let mut world = world(4);
+    let bad = edit(&mut world, 0, "bad", None, -1.0);
+    let change = RowChange {
+        key: hill(),
+        version: None,
+        value: None,
+    };
+    let request = OperatorRequest::Edit {
+        edit: "dangling".into(),
+        changes: vec![change],
+    };
+    let dangling = world.operate(0, request);
+    world.run_for(IN_FORCE);
+    for operator in [bad, dangling] {
+        match reply(&world, operator) {
+            Some(OperatorReply::Invalid(problems)) => assert!(!problems.is_empty()),
+            other => panic!("accepted: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn an_edit_is_in_force_everywhere_although_the_table_goes_down_right_after_it() {
+    for seed in 1..=10 {
+        let mut world = world(seed);
+        let operator = edit(&mut world, 2, "now", None, 111.0);
+        let answered = world.run_until(IN_FORCE, |world| reply(world, operator).is_some());
+        assert!(answered);
+        world.table_faults.down = true;
+        let revision = revision(&world, operator);
+        assert!(
+            world.run_until(IN_FORCE, |world| everywhere(world, revision)),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn an_instance_cut_off_from_the_table_learns_of_edits_from_its_peers() {
+    let mut world = world(5);
+    world.network.cut("instance-4", "table");
+    world.run_for(Duration::from_secs(3));
+    let operator = edit(&mut world, 0, "told", None, 111.0);
+    assert!(world.run_until(IN_FORCE, |world| reply(world, operator).is_some()));
+    let revision = revision(&world, operator);
+    assert!(world.run_until(IN_FORCE, |world| everywhere(world, revision)));
+}
+
+/// Watches that no instance that serves ever has an older configuration than it served before.
+fn assert_never_back(world: &mut World, length: Duration, seen: &mut [u64]) {
+    let until = world.now + length;
+    while world.now < until {
+        world.run_for(Duration::from_millis(20));
+        for (node, seen) in world.nodes.iter().zip(seen.iter_mut()) {
+            let Some(core) = node.core().filter(|core| core.is_ready()) else {
+                continue;
+            };
+            assert!(
+                core.revision() >= *seen,
+                "{} stepped back to {}",
+                node.id,
+                core.revision()
+            );
+            *seen = core.revision();
+        }
+    }
+}
+
+#[test]
+fn no_instance_steps_back_also_after_a_restart() {
+    for seed in 1..=5 {
+        let mut world = world(seed);
+        let mut seen = vec![0; world.nodes.len()];
+        for round in 0..6 {
+            edit(
+                &mut world,
+                round % 6,
+                &format!("round-{round}"),
+                None,
+                100.0 + round as f64,
+            );
+            assert_never_back(&mut world, Duration::from_secs(2), &mut seen);
+            let node = (round + 3) % 6;
+            world.kill(node);
+            // The snapshot may be old, and the table slow or away, when it starts again.
+            world.table_faults.down = round % 2 == 0;
+            world.table_faults.slow = Duration::from_millis(300);
+            world.restart(node);
+            assert_never_back(&mut world, Duration::from_secs(3), &mut seen);
+            world.table_faults = TableFaults::default();
+        }
+    }
+}
+
+#[test]
+fn an_instance_that_starts_without_the_table_is_ready_by_its_peers() {
+    let mut world = world(6);
+    world.kill(2);
+    world.table_faults.down = true;
+    world.restart(2);
+    let ready = |world: &World| world.nodes[2].core().is_some_and(|core| core.is_ready());
+    assert!(world.run_until(IN_FORCE, ready));
+}
+
+#[test]
+fn an_instance_that_starts_alone_without_the_table_does_not_serve() {
+    let mut world = world(7);
+    (0..6).for_each(|node| world.kill(node));
+    world.table_faults.down = true;
+    world.restart(0);
+    world.run_for(Duration::from_secs(5));
+    let caller = world.arrive(0, Script::model("key-of-hill", 10, 5, 5));
+    world.run_for(Duration::from_secs(5));
+    assert_eq!(world.outcome(caller).code(), "cut_off");
+    assert!(world.outcome(caller).told_not_run());
+}
