--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -225,6 +225,10 @@
             }
             HoldEnd::Done => {}
             HoldEnd::PrefillFailed(fault) => self.fail(&hold.prefill.clone(), fault, now),
+            // KV cache is lost where it is made, or on the way from there.
+            HoldEnd::DecodeFailed(EngineFault::KvLost) => {
+                self.fail(&hold.prefill.clone(), EngineFault::KvLost, now);
+            }
             HoldEnd::DecodeFailed(fault) => self.fail(&hold.decode.clone(), fault, now),
         }
         let customer = self.holds[key].request.customer.clone();
@@ -342,7 +346,8 @@
         let pages = pages(request);
         let fitting = |role, pages| {
             let all = self.engines.values();
-            all.filter(move |e| e.role == role && e.fits(pages, request.suspect, now))
+            let allowed = self.allowed(request, role, now);
+            all.filter(move |e| e.role == role && allowed(e) && e.fits(pages, request.suspect, now))
         };
         let decode =
             fitting(EngineRole::Decode, pages).min_by(|a, b| a.fill().total_cmp(&b.fill()))?;
@@ -358,6 +363,22 @@
         Some((prefill.id.clone(), decode.id.clone()))
     }
 
+    /// Returns which engines a request may go to: not back to one that failed it, if there is
+    /// another.
+    fn allowed<'a>(
+        &'a self,
+        request: &'a HoldRequest,
+        role: EngineRole,
+        now: Duration,
+    ) -> impl Fn(&EngineState) -> bool + 'a {
+        let others = self.engines.values().any(|engine| {
+            engine.role == role
+                && engine.healthy_slots(now) > 0
+                && !request.avoid.contains(&engine.id)
+        });
+        move |engine| !others || !request.avoid.contains(&engine.id)
+    }
+
     fn prefill_time(&self, request: &HoldRequest, engine: &EngineId) -> Duration {
         let Some(engine) = self.engines.get(engine) else {
             return Duration::ZERO;
--- a/crates/core/src/engine_state.rs
+++ b/crates/core/src/engine_state.rs
@@ -142,10 +142,14 @@
 
     /// Takes in a failure; returns whether it is the first since the last success.
     pub fn fail(&mut self, fault: EngineFault, now: Duration) -> bool {
-        if matches!(fault, EngineFault::Full) {
+        if fault == EngineFault::Full {
             self.note_full();
             return false;
         }
+        if now < self.paused_until {
+            // One failure breaks many requests and counts once.
+            return false;
+        }
         let pause = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(10));
         self.paused_until = now + pause.min(LONGEST_PAUSE);
         self.on_trial = true;
--- a/crates/core/src/plugins/model_call.rs
+++ b/crates/core/src/plugins/model_call.rs
@@ -182,6 +182,7 @@
     if fault != EngineFault::Crashed && fault != EngineFault::Down {
         cancel(core, key);
     }
+    avoid(core, key, is_decode, fault);
     let end = match is_decode {
         true => HoldEnd::DecodeFailed(fault),
         false => HoldEnd::PrefillFailed(fault),
@@ -190,6 +191,22 @@
     retry(core, key, fault);
 }
 
+/// Keeps the request from the engine that failed it.
+fn avoid(core: &mut Core, key: ReqKey, is_decode: bool, fault: EngineFault) {
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
+    };
+    let hold = request.hold.as_ref();
+    let Some(allocation) = hold.and_then(|hold| hold.allocation.as_ref()) else {
+        return;
+    };
+    let engine = match is_decode && fault != EngineFault::KvLost {
+        true => &allocation.decode,
+        false => &allocation.prefill,
+    };
+    request.avoid.push(engine.0.clone());
+}
+
 /// Continues a stream that broke on an engine which is still alive.
 fn resume(core: &mut Core, key: ReqKey) {
     let Some(request) = core.requests.get_mut(key) else {
--- a/crates/core/src/plugins/queue.rs
+++ b/crates/core/src/plugins/queue.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use jacinthlever_types::{
-    CellId, Code, HoldEnd, HoldOutcome, HoldRequest, InstanceId, PeerMsg, RequestId, Run, Verdict,
+    CellId, Code, EngineId, HoldEnd, HoldOutcome, HoldRequest, InstanceId, PeerMsg, RequestId, Run,
+    Verdict,
 };
 
 use crate::request::Hold;
@@ -127,6 +128,7 @@
         prefix: prefix.clone(),
         due_ms: request.deadline.saturating_sub(now).as_millis() as u32,
         suspect: request.suspect,
+        avoid: request.avoid.iter().cloned().map(EngineId).collect(),
     };
     request.hold = Some(Hold {
         cell,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -133,7 +133,7 @@
     pub suspect: bool,
     /// Times that a broken decode stream was resumed on its engine.
     pub resumes: u32,
-    /// Backend servers of plain services that failed this request.
+    /// Backend servers that failed this request, and workers that it was sent to.
     pub avoid: Vec<SmolStr>,
     /// Tokens of prompt as counted by the engine.
     pub counted_prompt: Option<u32>,
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -65,6 +65,10 @@
         if healthy {
             return std::mem::take(&mut worker.failures) > 0;
         }
+        if now < worker.paused_until {
+            // One failure breaks many calls and counts once.
+            return false;
+        }
         let pause = FIRST_PAUSE * 2u32.saturating_pow(worker.failures.min(10));
         worker.paused_until = now + pause.min(LONGEST_PAUSE);
         worker.failures += 1;
--- a/crates/local-fleet/src/caller.rs
+++ b/crates/local-fleet/src/caller.rs
@@ -203,11 +203,9 @@
     }
 }
 
-/// How a stream ended.
+/// How a stream ended before its answer was whole.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StreamEnd {
-    /// The answer is whole.
-    Whole,
     /// The router gave the request up.
     Refused(Refusal),
     /// The connection ended without either.
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -105,6 +105,9 @@
     pub due_ms: u32,
     /// Whether an earlier attempt ran on a backend server that crashed.
     pub suspect: bool,
+    /// Engines that failed earlier attempts.
+    #[serde(default)]
+    pub avoid: Vec<EngineId>,
 }
 
 impl HoldRequest {
