--- a/crates/core/src/plugins/model_call.rs
+++ b/crates/core/src/plugins/model_call.rs
@@ -200,11 +200,13 @@
     let Some(allocation) = hold.and_then(|hold| hold.allocation.as_ref()) else {
         return;
     };
-    let engine = match is_decode && fault != EngineFault::KvLost {
-        true => &allocation.decode,
-        false => &allocation.prefill,
-    };
-    request.avoid.push(engine.0.clone());
+    // A transfer may have failed at either end.
+    if is_decode {
+        request.avoid.push(allocation.decode.0.clone());
+    }
+    if !is_decode || fault == EngineFault::KvLost {
+        request.avoid.push(allocation.prefill.0.clone());
+    }
 }
 
 /// Continues a stream that broke on an engine which is still alive.
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -1185,10 +1185,12 @@
         if now < stream.since + TOKEN_TIMEOUT {
             return;
         }
-        let fault = if stream.ready {
-            CallFault::Stalled
-        } else {
+        // An engine gives up an import by itself; one that stalls does not even do that.
+        let importing = !stream.ready && !engine.faults.stalled;
+        let fault = if importing {
             CallFault::KvLost
+        } else {
+            CallFault::Stalled
         };
         let position = self.outcomes[&stream.call.caller].tokens;
         let result = CallResult::Failed { fault, position };
