Process tests: SIGKILL, SIGSTOP, table outage, SIGTERM, racing operators, logs without keys

Cause: the promises were proved on the core and in one process, not on daemons under signals. Conclusion: threads and sockets keep what the core decides.

--- /dev/null
+++ b/crates/daemon/tests/processes.rs
@@ -0,0 +1,352 @@
+//! Real daemon processes under signals and outages. Outcomes are asserted, and waits are bounded.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use jacinthlever_local_fleet::{CustomerSpec, Fleet, FleetSpec, declarations};
+use jacinthlever_standins::{Faults, expected_answer};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+
+/// Longest wait for a state; every state comes far sooner.
+const LONGEST: Duration = Duration::from_secs(40);
+
+const NORTH: CustomerSpec = CustomerSpec {
+    name: "north",
+    rate: 1e6,
+    burst: 1e7,
+    weight: 1.0,
+};
+
+/// A fleet whose instances are processes of their own; the stand-ins run in the test.
+struct Processes {
+    fleet: Fleet,
+    folder: PathBuf,
+    children: BTreeMap<u16, Child>,
+}
+
+impl Processes {
+    fn spawn(instances: u16, name: &str) -> Self {
+        let spec = FleetSpec::new(instances, 1, 2);
+        let fleet = Fleet::spawn_standins(spec).expect("stand-ins");
+        let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let mut processes = Self {
+            fleet,
+            folder,
+            children: BTreeMap::new(),
+        };
+        (0..instances).for_each(|number| processes.start(number));
+        let numbers: Vec<u16> = (0..instances).collect();
+        processes
+            .fleet
+            .wait_ready(&numbers, 0, LONGEST)
+            .expect("ready");
+        let changes = declarations(&[NORTH]);
+        let revision = processes
+            .fleet
+            .edit(0, "fixture", &changes)
+            .expect("an edit");
+        processes
+            .fleet
+            .wait_ready(&numbers, revision, LONGEST)
+            .expect("in force");
+        processes
+    }
+
+    fn start(&mut self, number: u16) {
+        let instance = self.fleet.spec.instances[usize::from(number)].clone();
+        let path = self.folder.join(format!("instance-{number}.json"));
+        let settings = self.fleet.spec.instance_settings(&instance);
+        fs::write(&path, settings.to_string()).expect("a settings file");
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.log_path(number))
+            .expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_jacinthleverd"))
+            .arg(&path)
+            .env("RUST_LOG", "debug")
+            .stdin(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("a daemon");
+        self.children.insert(number, child);
+    }
+
+    fn log_path(&self, number: u16) -> PathBuf {
+        self.folder.join(format!("instance-{number}.log"))
+    }
+
+    fn signal(&self, number: u16, signal: Signal) {
+        let id = i32::try_from(self.children[&number].id()).expect("a process id");
+        let pid = Pid::from_raw(id).expect("a process id");
+        kill_process(pid, signal).expect("signalled");
+    }
+
+    /// Waits for a process to end by itself.
+    fn ended(&mut self, number: u16) -> ExitStatus {
+        let child = self.children.get_mut(&number).expect("a child");
+        let until = Instant::now() + LONGEST;
+        loop {
+            if let Some(status) = child.try_wait().expect("a status") {
+                return status;
+            }
+            assert!(Instant::now() < until, "instance {number} did not end");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn kill(&mut self, number: u16) {
+        self.signal(number, Signal::KILL);
+        self.ended(number);
+        self.children.remove(&number);
+    }
+
+    /// Waits until an instance answers a completion.
+    fn wait_answers(&self, number: u16) {
+        let caller = self.fleet.caller(number, &NORTH.key());
+        let answered = self.fleet.wait_until(LONGEST, "an answer", || {
+            caller
+                .complete("are you there", 2)
+                .is_ok_and(|answer| answer.tokens == 2)
+        });
+        answered.expect("answers");
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            // It may have ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[test]
+fn a_killed_instance_is_taken_over_and_can_come_back() {
+    let mut processes = Processes::spawn(3, "killed");
+    let asked = processes
+        .fleet
+        .caller(0, &NORTH.key())
+        .where_to()
+        .expect("addresses");
+    let holder = asked["addresses"][0]
+        .as_str()
+        .expect("an address")
+        .to_owned();
+    let killed = (0..3)
+        .find(|n| processes.fleet.caller_address(*n) == holder)
+        .expect("a holder");
+    let others: Vec<u16> = (0..3).filter(|n| *n != killed).collect();
+    processes.kill(killed);
+    for other in &others {
+        processes.wait_answers(*other);
+    }
+    let gone = processes.fleet.wait_until(LONGEST, "new addresses", || {
+        let asked = processes.fleet.caller(others[0], &NORTH.key()).where_to();
+        asked.is_ok_and(|answer| !answer.to_string().contains(&holder))
+    });
+    gone.expect("the dead instance is no longer named");
+    processes.start(killed);
+    processes.wait_answers(killed);
+    processes
+        .fleet
+        .wait_ready(&[0, 1, 2], 0, LONGEST)
+        .expect("all slots are held");
+}
+
+#[test]
+fn an_instance_frozen_past_its_lease_runs_no_booking_again() {
+    let processes = Processes::spawn(3, "frozen");
+    let caller = |number| processes.fleet.caller(number, &NORTH.key());
+    caller(1)
+        .call("POST", "/bookings/new", "before", Some("before"))
+        .expect("booked");
+    processes.signal(1, Signal::STOP);
+    // A send that the frozen instance finds when it wakes, and one to another instance.
+    let sleeper = caller(1);
+    let late =
+        thread::spawn(move || sleeper.call("POST", "/bookings/new", "during", Some("during")));
+    thread::sleep(Duration::from_secs(6));
+    let first = processes.fleet.wait_until(LONGEST, "a booking", || {
+        caller(2)
+            .call("POST", "/bookings/new", "during", Some("during"))
+            .is_ok()
+    });
+    first.expect("booked elsewhere");
+    processes.signal(1, Signal::CONT);
+    let late = late.join().expect("joined");
+    assert!(late.is_ok() || late.is_err_and(|refusal| refusal.may_have_run));
+    processes.wait_answers(1);
+    let runs = processes
+        .fleet
+        .workers
+        .values()
+        .flat_map(|worker| worker.runs());
+    assert_eq!(runs.filter(|run| run.body == "during").count(), 1);
+}
+
+#[test]
+fn the_fleet_goes_on_while_the_table_is_away() {
+    let processes = Processes::spawn(3, "outage");
+    let caller = |number| processes.fleet.caller(number, &NORTH.key());
+    let asked = caller(0).where_to().expect("a ticket");
+    let ticket = asked["ticket"].as_str().expect("a ticket").to_owned();
+    processes.fleet.table.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    // Longer than a lease term, so that the heirs' promises must carry it.
+    let until = Instant::now() + Duration::from_secs(8);
+    let mut number = 0;
+    while Instant::now() < until {
+        let instance = number % 3;
+        let prompt = format!("note {number}");
+        let answer = caller(instance).complete(&prompt, 5).expect("an answer");
+        assert_eq!(answer.text, expected_answer(&prompt, 5));
+        let key = format!("{ticket}.{number}");
+        let body = format!("house {number}");
+        let booked = caller(instance).call("POST", "/bookings/new", &body, Some(&key));
+        assert_eq!(booked.expect("booked").status, 200);
+        let again = caller((number + 1) % 3).call("POST", "/bookings/new", &body, Some(&key));
+        assert!(again.expect("recorded").replayed);
+        number += 1;
+        thread::sleep(Duration::from_millis(100));
+    }
+    processes.fleet.table.set_faults(Faults::default());
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for run in processes
+        .fleet
+        .workers
+        .values()
+        .flat_map(|worker| worker.runs())
+    {
+        *runs.entry(run.body).or_default() += 1;
+    }
+    assert_eq!(runs.len(), usize::from(number));
+    assert!(runs.values().all(|count| *count == 1));
+}
+
+#[test]
+fn sigterm_ends_the_process_after_its_last_stream() {
+    let mut processes = Processes::spawn(2, "sigterm");
+    let prompt = "a long estimate";
+    let mut stream = processes
+        .fleet
+        .caller(1, &NORTH.key())
+        .stream(prompt, 60)
+        .expect("a stream");
+    stream.token().expect("a token");
+    processes.signal(1, Signal::TERM);
+    let answer = stream.finish().expect("a whole answer");
+    assert_eq!(answer.text, expected_answer(prompt, 60));
+    assert!(processes.ended(1).success());
+    processes.wait_answers(0);
+}
+
+#[test]
+fn no_key_and_no_credential_appears_in_a_log() {
+    let processes = Processes::spawn(2, "logs");
+    let caller = processes.fleet.caller(0, &NORTH.key());
+    caller.complete("x", 3).expect("an answer");
+    caller
+        .call("GET", "/crews/list", "", None)
+        .expect("a lookup");
+    let unknown = processes.fleet.caller(1, "a-key-that-was-never-granted");
+    unknown.complete("x", 3).expect_err("refused");
+    let hash = jacinthlever_types::KeyHash::of(&NORTH.key()).to_hex();
+    let change = json!({"row": format!("key/{hash}"), "value": null});
+    processes
+        .fleet
+        .edit(1, "withdraw", &[change])
+        .expect("withdrawn");
+    for number in 0..2 {
+        let log = fs::read_to_string(processes.log_path(number)).expect("a log");
+        assert!(log.contains("JL0101"), "{log}");
+        let secrets = [
+            NORTH.key(),
+            "a-key-that-was-never-granted".to_owned(),
+            FleetSpec::operator_credential().to_owned(),
+            "local-peer-credential".to_owned(),
+        ];
+        for secret in secrets {
+            assert!(!log.contains(&secret), "instance {number} logged {secret}");
+        }
+    }
+}
+
+#[test]
+fn two_operators_at_two_processes_race_and_one_is_told_of_the_other() {
+    let processes = Processes::spawn(2, "race");
+    let rows = processes
+        .fleet
+        .operator(0)
+        .get("/ops/v1/rows")
+        .expect("rows");
+    let rows = rows["rows"].as_array().expect("a list");
+    let row = rows
+        .iter()
+        .find(|row| row["key"] == json!("customer/north"))
+        .expect("a row");
+    let version = row["version"].clone();
+    let results: Vec<_> = thread::scope(|scope| {
+        let edits: Vec<_> = (0..2u16)
+            .map(|number| {
+                let limits =
+                    json!({"rate": 1_000.0 + f64::from(number), "burst": 1e6, "weight": 1.0});
+                let change = json!({"row": "customer/north", "version": version, "value": limits});
+                let fleet = &processes.fleet;
+                scope.spawn(move || fleet.edit(number, &format!("race-{number}"), &[change]))
+            })
+            .collect();
+        edits
+            .into_iter()
+            .map(|edit| edit.join().expect("joined"))
+            .collect()
+    });
+    assert_eq!(
+        results.iter().filter(|result| result.is_ok()).count(),
+        1,
+        "{results:?}"
+    );
+    let conflict = results
+        .into_iter()
+        .find_map(Result::err)
+        .expect("a conflict")
+        .to_string();
+    assert!(
+        conflict.contains("theirs") && conflict.contains("yours"),
+        "{conflict}"
+    );
+}
+
+#[test]
+fn wrong_settings_stop_the_start_with_everything_that_is_wrong() {
+    let path = std::env::temp_dir().join(format!("wrong-{}.json", std::process::id()));
+    fs::write(
+        &path,
+        r#"{"instance": "i0", "zone": 5, "caller_adress": "x"}"#,
+    )
+    .expect("written");
+    let output = Command::new(env!("CARGO_BIN_EXE_jacinthleverd"))
+        .arg(&path)
+        .output()
+        .expect("it ran");
+    fs::remove_file(&path).expect("removed");
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    for field in ["zone", "caller_adress", "caller_address", "table_address"] {
+        assert!(
+            text.contains(&format!("{}: {field}: ", path.display())),
+            "{field}: {text}"
+        );
+    }
+}
