--- /dev/null
+++ b/crates/core/benches/policy/bounds.rs
@@ -0,0 +1,199 @@
+//! Compares figures with the bounds that the targets state.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use jacinthlever_fakes::RouterKind;
+use serde_json::{Value, json};
+
+use crate::cases::{Case, Fault};
+use crate::figures::{Figures, measure};
+
+/// Load up to which a calm fleet keeps its latency targets.
+const CALM_LOAD: f64 = 0.85;
+
+/// What a figure must not cross.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Bound {
+    /// At least this.
+    AtLeast(f64),
+    /// At most this.
+    AtMost(f64),
+    /// Shown for comparison only.
+    None,
+}
+
+/// One figure of one case.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Deployment.
+    pub deployment: &'static str,
+    /// Load in percent of capacity.
+    pub load: f64,
+    /// Fault.
+    pub fault: &'static str,
+    /// What was measured.
+    pub measure: &'static str,
+    /// Figure of the naive router.
+    pub naive: f64,
+    /// Figure of the core.
+    pub ours: f64,
+    /// Bound of the core's figure.
+    pub bound: Bound,
+    /// Whether the bound holds.
+    pub ok: bool,
+}
+
+impl Line {
+    /// Returns the line for scripts.
+    pub fn to_json(&self) -> Value {
+        let bound = match self.bound {
+            Bound::AtLeast(value) => json!({"at_least": value}),
+            Bound::AtMost(value) => json!({"at_most": value}),
+            Bound::None => Value::Null,
+        };
+        json!({
+            "deployment": self.deployment, "load": self.load, "fault": self.fault,
+            "measure": self.measure, "naive": self.naive, "ours": self.ours,
+            "bound": bound, "ok": self.ok,
+        })
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let bound = match self.bound {
+            Bound::AtLeast(value) => format!(">= {value:.1}"),
+            Bound::AtMost(value) => format!("<= {value:.1}"),
+            Bound::None => String::new(),
+        };
+        let mark = if self.ok { "" } else { "  CROSSED" };
+        write!(
+            f,
+            "{:7} {:4.0} % {:17} {:18} naive {:9.2}  ours {:9.2}  {bound}{mark}",
+            self.deployment, self.load, self.fault, self.measure, self.naive, self.ours
+        )
+    }
+}
+
+/// Plays all wanted cases and returns their figures.
+pub fn run(seed: u64, wanted: impl Fn(&Case) -> bool) -> Vec<Line> {
+    let mut calm: BTreeMap<(&str, u64), Figures> = BTreeMap::new();
+    let mut lines = Vec::new();
+    for case in Case::all(seed) {
+        let key = (case.deployment.name, (case.load * 100.0) as u64);
+        if !wanted(&case) {
+            continue;
+        }
+        let ours = measure(case.play(RouterKind::Core), case.fault);
+        let naive = measure(case.play(RouterKind::Naive), case.fault);
+        if case.fault == Fault::Calm {
+            calm.insert(key, ours);
+        } else if !calm.contains_key(&key) {
+            let quiet = Case {
+                fault: Fault::Calm,
+                ..case.clone()
+            };
+            calm.insert(key, measure(quiet.play(RouterKind::Core), Fault::Calm));
+        }
+        let full = calm
+            .get(&(case.deployment.name, 100))
+            .map(|figures| figures.goodput);
+        lines.extend(compare(&case, &naive, &ours, calm[&key].goodput, full));
+    }
+    lines
+}
+
+fn compare(
+    case: &Case,
+    naive: &Figures,
+    ours: &Figures,
+    calm: f64,
+    full: Option<f64>,
+) -> Vec<Line> {
+    let is_calm = case.fault == Fault::Calm;
+    let easy = is_calm && case.load <= CALM_LOAD;
+    let over = is_calm && case.load >= 2.0;
+    let when = |condition: bool, bound| if condition { bound } else { Bound::None };
+    let possible = case.deployment.decode_tokens_per_second();
+    let goodput = match (is_calm, over) {
+        (false, _) => Bound::AtLeast(0.9 * calm * case.capacity_left()),
+        (_, true) => Bound::AtLeast((0.9 * possible).max(0.9 * full.unwrap_or(0.0))),
+        _ => Bound::None,
+    };
+    let wasted = Bound::AtMost(if easy { 1.0 } else { 5.0 });
+    let wrongful = match is_calm {
+        true => when(easy, Bound::AtMost(0.0)),
+        false => Bound::AtMost(0.1),
+    };
+    let rows = [
+        (
+            "within_targets",
+            naive.within_targets,
+            ours.within_targets,
+            when(easy, Bound::AtLeast(95.0)),
+        ),
+        ("goodput", naive.goodput, ours.goodput, goodput),
+        (
+            "wasted_prefill",
+            naive.wasted_prefill,
+            ours.wasted_prefill,
+            when(easy || !is_calm, wasted),
+        ),
+        (
+            "worst_served",
+            naive.worst_served,
+            ours.worst_served,
+            when(over, Bound::AtLeast(90.0)),
+        ),
+        (
+            "wrongful_refusals",
+            naive.wrongful_refusals,
+            ours.wrongful_refusals,
+            wrongful,
+        ),
+        (
+            "duplicates",
+            naive.duplicates,
+            ours.duplicates,
+            Bound::AtMost(0.0),
+        ),
+        (
+            "limit_overruns",
+            naive.limit_overruns,
+            ours.limit_overruns,
+            Bound::AtMost(0.0),
+        ),
+        (
+            "memory_held",
+            naive.memory_held,
+            ours.memory_held,
+            Bound::AtMost(0.0),
+        ),
+        (
+            "lost_requests",
+            naive.lost_requests,
+            ours.lost_requests,
+            Bound::AtMost(0.0),
+        ),
+    ];
+    rows.map(|(measure, naive, ours, bound)| Line {
+        deployment: case.deployment.name,
+        load: case.load * 100.0,
+        fault: case.fault.name(),
+        measure,
+        naive,
+        ours,
+        bound,
+        ok: holds(ours, bound),
+    })
+    .into()
+}
+
+fn holds(figure: f64, bound: Bound) -> bool {
+    match bound {
+        Bound::AtLeast(least) => figure >= least,
+        Bound::AtMost(most) => figure <= most,
+        Bound::None => true,
+    }
+}
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -11,8 +11,8 @@
 };
 use jacinthlever_standins::TableState;
 use jacinthlever_types::{
-    CustomerId, FinishReason, InstanceId, KvSource, ListEntry, ListKind, ListState, ModelId,
-    PeerMsg, Transaction, Write, ZoneId,
+    CustomerId, EngineRole, FinishReason, InstanceId, KvSource, ListEntry, ListKind, ListState,
+    ModelId, PeerMsg, Transaction, Write, ZoneId,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,8 +22,8 @@
 use crate::engine::{DecodeStream, EngineCall, PrefillJob};
 use crate::worker::WorkerRun;
 use crate::{
-    Deployment, End, FakeEngine, FakeWorker, LimitAudit, NaiveRouter, Network, Node, Outcome,
-    Router, Script, TableFaults,
+    Deployment, End, EngineFaults, FakeEngine, FakeWorker, LimitAudit, NaiveRouter, Network, Node,
+    Outcome, Router, Script, TableFaults,
 };
 
 /// Pause between two ticks of a core.
@@ -122,6 +122,8 @@
     pub peer_messages: u64,
     /// Called with every message between instances.
     pub on_peer_message: Option<OnPeerMessage>,
+    /// Whether there was room in some decode engine, each time that it changed.
+    room: BTreeMap<Duration, bool>,
     /// When listed machines began to leave.
     left_at: BTreeMap<SmolStr, Duration>,
     deployment: Deployment,
@@ -157,6 +159,7 @@
             withdrawn: BTreeMap::new(),
             late_work: Vec::new(),
             left_at: BTreeMap::new(),
+            room: BTreeMap::new(),
             held_too_long: Vec::new(),
             load_began: Duration::ZERO,
             peer_messages: 0,
@@ -228,6 +231,7 @@
             let ((at, _), happening) = entry.remove_entry();
             self.now = at;
             self.happen(happening);
+            self.note_room();
         }
         self.now = until;
     }
@@ -364,6 +368,27 @@
         }
     }
 
+    /// Whether some decode engine that works as it should had two slots free at a time.
+    pub fn had_room(&self, at: Duration) -> bool {
+        let seen = self.room.range(..=at).next_back();
+        seen.is_some_and(|(_, room)| *room)
+    }
+
+    fn note_room(&mut self) {
+        let room = self.has_room();
+        if self.room.values().next_back() != Some(&room) {
+            self.room.insert(self.now, room);
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.engines.values().any(|engine| {
+            let works = engine.up && engine.faults == EngineFaults::default();
+            let used = engine.streams.len() as u32;
+            works && engine.spec.role == EngineRole::Decode && used + 2 <= engine.spec.slots
+        })
+    }
+
     /// Whether any backend server has seen a request of a caller.
     pub fn was_dispatched(&self, caller: CallerId) -> bool {
         self.names.contains_key(&caller)
