Short leases, adopted holds, decode-only retries, waits estimated in tokens

Cause: with an instance dead its customers waited 4 s for a holder and the whole cell 2.5 s for a keeper; a full engine cost a prefill each time; a short queue cost small customers their share. Now: a lease names its own term (0.75 s for a small fleet, 36 ms for each instance of a large one); a reset connection marks a peer as dead until it is heard again; instances tell a new keeper of the engines they hold; KV cache outlives a full decode engine; idle customers bank 8,192 tokens. Weighed and left out: taking over on a refused connection. A proxy or a REJECT rule refuses too while the holder lives, and the limit would be overrun. Found on the way: a retry that kept its KV cache was taken for a late attempt (engine-full).

--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -9,6 +9,10 @@
 /// The lead is finite, so urgent requests of one customer cannot starve the others.
 pub const URGENT_LEAD_TOKENS: f64 = 8_192.0;
 
+/// Tokens, for a customer of weight 1, of unused turns that a customer without waiting requests
+/// keeps. It evens out short queues, which the latency targets enforce.
+pub const BANKED_TOKENS: f64 = 8_192.0;
+
 #[derive(Debug)]
 struct Entry<K> {
     key: K,
@@ -33,6 +37,21 @@
         }
     }
 
+    /// Virtual time at which the customer's next request may start.
+    fn start(&self, virtual_time: f64) -> f64 {
+        self.finish.max(virtual_time - BANKED_TOKENS)
+    }
+
+    /// Tokens of the waiting requests that go before a new one of the class.
+    fn cost_ahead(&self, class: Class) -> f64 {
+        let patient = self.patient.iter().filter(|_| class == Class::Patient);
+        self.urgent
+            .iter()
+            .chain(patient)
+            .map(|entry| entry.cost)
+            .sum()
+    }
+
     fn len(&self) -> usize {
         self.urgent.len() + self.patient.len()
     }
@@ -105,7 +124,7 @@
         let virtual_time = self.virtual_time;
         let flow = self.flows.get_mut(&customer)?;
         let entry = flow.queue(class).pop_front()?;
-        flow.finish = flow.finish.max(virtual_time) + entry.cost / flow.weight;
+        flow.finish = flow.start(virtual_time) + entry.cost / flow.weight;
         self.drop_idle();
         Some(entry.key)
     }
@@ -135,21 +154,25 @@
         self.flows.values().all(|flow| flow.len() == 0)
     }
 
-    /// Returns a customer's requests that go before a new one of the class.
-    pub fn ahead(&self, customer: &CustomerId, class: Class) -> usize {
-        self.flows.get(customer).map_or(0, |flow| match class {
-            Class::Urgent => flow.urgent.len(),
-            Class::Patient => flow.len(),
-        })
-    }
-
-    /// Returns the part of the capacity that a customer gets beside those that wait now.
-    pub fn share(&self, customer: &CustomerId, weight: f64) -> f64 {
-        let waiting = self
-            .flows
-            .iter()
-            .filter(|(id, flow)| *id != customer && flow.len() > 0);
-        weight / (weight + waiting.map(|(_, flow)| flow.weight).sum::<f64>())
+    /// Returns the tokens that are served before a new request of a customer has its turn.
+    pub fn tokens_before(&self, customer: &CustomerId, weight: f64, class: Class) -> f64 {
+        let lead = if class == Class::Urgent {
+            URGENT_LEAD_TOKENS
+        } else {
+            0.0
+        };
+        let (start, ahead) = match self.flows.get(customer) {
+            None => (self.virtual_time - BANKED_TOKENS, 0.0),
+            Some(flow) => (flow.start(self.virtual_time), flow.cost_ahead(class)),
+        };
+        let turn = start + ahead / weight - lead;
+        let others = self.flows.iter().filter(|(id, _)| *id != customer);
+        // Until that turn each waiting customer is served up to the same virtual time.
+        let tokens = others.map(|(_, flow)| {
+            let behind = (turn - flow.start(self.virtual_time)).max(0.0);
+            (behind * flow.weight).min(flow.cost_ahead(Class::Patient))
+        });
+        ahead + tokens.sum::<f64>()
     }
 
     fn next(&self) -> Option<(CustomerId, Class)> {
@@ -160,7 +183,7 @@
             } else {
                 0.0
             };
-            Some((flow.finish.max(self.virtual_time) - lead, customer, class))
+            Some((flow.start(self.virtual_time) - lead, customer, class))
         });
         let least = backlogged.min_by(|a, b| a.0.total_cmp(&b.0));
         least.map(|(_, customer, class)| (customer.clone(), class))
@@ -168,14 +191,15 @@
 
     fn least_start(&self) -> f64 {
         let waiting = self.flows.values().filter(|flow| flow.len() > 0);
-        let starts = waiting.map(|flow| flow.finish.max(self.virtual_time));
+        let starts = waiting.map(|flow| flow.start(self.virtual_time));
         starts.min_by(f64::total_cmp).unwrap_or(self.virtual_time)
     }
 
     /// Idle customers whose turn has passed start afresh and need no memory.
     fn drop_idle(&mut self) {
         let virtual_time = self.virtual_time;
+        let forgotten = virtual_time - BANKED_TOKENS;
         self.flows
-            .retain(|_, flow| flow.len() > 0 || flow.finish > virtual_time);
+            .retain(|_, flow| flow.len() > 0 || flow.finish > forgotten);
     }
 }
--- a/crates/core/src/kernel.rs
+++ b/crates/core/src/kernel.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 
 use crate::plugin::{Plugin, registered};
-use crate::plugins::{dispatch, finish, limit_holder, operator};
+use crate::plugins::{dispatch, finish, limit_holder, membership, operator};
 use crate::{
     Action, Call, CallId, CallerId, ClaimBook, ConfigState, CoreSettings, Directory, Event, Flow,
     Inbound, Keeper, Lease, Limiter, LogEvent, Members, OpId, PlatformOp, PlatformReply, Reply,
@@ -26,6 +26,9 @@
 /// What is done at a later time.
 pub type OnTimer = Box<dyn FnOnce(&mut Core) + Send>;
 
+/// Silence after which the requests of an instance count as lost.
+const LOST_AFTER: Duration = Duration::from_secs(10);
+
 /// Who waits for the result of a call.
 #[derive(Clone, Debug)]
 pub(crate) enum CallOwner {
@@ -86,7 +89,7 @@
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             config: ConfigState::default(),
             directory: Directory::default(),
-            members: Members::default(),
+            members: Members::new(settings.beat_every),
             beat: 0,
             lease: Lease::new(&settings),
             wards: Wards::new(&settings),
@@ -130,7 +133,7 @@
             Event::Platform { op, result } => self.platform_result(op, result),
             Event::List(delta) => self.directory.apply(delta),
             Event::Peer { from, msg } => self.peer(&from, msg),
-            Event::PeerLost(_) => {}
+            Event::PeerLost(peer) => membership::peer_lost(self, &peer),
             Event::Operator { operator, request } => operator::request(self, operator, request),
         }
         while let Some(msg) = self.local.pop_front() {
@@ -323,11 +326,12 @@
     pub(crate) fn lost_check(&self) -> impl Fn(&RequestId) -> bool + use<> {
         let own = (self.settings.instance.clone(), self.settings.incarnation);
         let now = self.now;
+        let forgotten = LOST_AFTER;
         let heard: BTreeMap<InstanceId, (u64, bool)> = self
             .members
             .statuses()
             .map(|(status, at)| {
-                let is_lost = now >= at + crate::members::DEAD_AFTER * 4;
+                let is_lost = now >= at + forgotten;
                 (status.instance.clone(), (status.incarnation, is_lost))
             })
             .collect();
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -19,6 +19,8 @@
     pub incarnation: u64,
     /// Grows with every renewal.
     pub renewal: u64,
+    /// Term of the lease, in milliseconds.
+    pub term_ms: u64,
     /// The instances that may take over, and that can promise not to.
     pub heirs: Vec<InstanceId>,
 }
@@ -49,7 +51,6 @@
 pub struct Lease {
     row: SmolStr,
     incarnation: u64,
-    term: Duration,
     cap: Duration,
     /// Version of the row last known; 0 before the first write.
     version: u64,
@@ -67,7 +68,6 @@
         Self {
             row: row_key(&settings.instance),
             incarnation: settings.incarnation,
-            term: settings.lease_term,
             cap: settings.promise_cap,
             version: 0,
             record: None,
@@ -89,7 +89,8 @@
         let Some(confirmed) = self.confirmed else {
             return false;
         };
-        now < confirmed + self.term || (now < confirmed + self.cap && self.all_heirs_promised(now))
+        now < confirmed + self.term()
+            || (now < confirmed + self.cap && self.all_heirs_promised(now))
     }
 
     /// Returns the time since the last confirmed renewal was sent.
@@ -98,12 +99,18 @@
     }
 
     /// Returns the write of the next renewal, or of the one whose outcome is unknown.
-    pub fn renewal(&mut self, heirs: Vec<InstanceId>, now: Duration) -> Transaction {
+    pub fn renewal(
+        &mut self,
+        heirs: Vec<InstanceId>,
+        term: Duration,
+        now: Duration,
+    ) -> Transaction {
         let condition = self.condition();
         let attempt = self.attempt.get_or_insert_with(|| Attempt {
             record: LeaseRecord {
                 incarnation: self.incarnation,
                 renewal: self.record.as_ref().map_or(1, |record| record.renewal + 1),
+                term_ms: term.as_millis() as u64,
                 heirs,
             },
             first_sent: now,
@@ -159,8 +166,9 @@
     pub fn ask(&mut self, now: Duration) -> (u64, Vec<InstanceId>) {
         let number = self.next_ask;
         self.next_ask += 1;
+        let term = self.term();
         self.asked.insert(number, now);
-        self.asked.retain(|_, sent| now < *sent + self.term);
+        self.asked.retain(|_, sent| now < *sent + term);
         (number, self.possible_heirs().into_iter().cloned().collect())
     }
 
@@ -177,9 +185,10 @@
         self.record.as_ref().map_or(&[], |record| &record.heirs)
     }
 
-    /// Returns the renewal number last confirmed.
-    pub fn renewal_number(&self) -> u64 {
-        self.record.as_ref().map_or(0, |record| record.renewal)
+    /// Returns the term of the renewal last confirmed.
+    pub fn term(&self) -> Duration {
+        let term_ms = self.record.as_ref().map_or(0, |record| record.term_ms);
+        Duration::from_millis(term_ms)
     }
 
     fn confirm_attempt(&mut self) {
@@ -198,10 +207,11 @@
     }
 
     fn all_heirs_promised(&self, now: Duration) -> bool {
+        let term = self.term();
         let holds = |heir| {
             self.promises
                 .get(heir)
-                .is_some_and(|sent| now < *sent + self.term)
+                .is_some_and(|sent| now < *sent + term)
         };
         self.possible_heirs().into_iter().all(holds)
     }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -7,8 +7,14 @@
 
 use crate::Directory;
 
-/// Silence after which an instance counts as dead.
-pub const DEAD_AFTER: Duration = Duration::from_millis(2_500);
+/// Silence after which an instance of a small fleet counts as dead, in heartbeats.
+const DEAD_BEATS: u32 = 4;
+
+/// Silence after which an instance of a large fleet counts as dead, as gossip takes its time.
+const DEAD_AFTER_LARGE: Duration = Duration::from_millis(2_500);
+
+/// Pause between two heartbeats in a fleet too large for a full mesh.
+const BEAT_LARGE: Duration = Duration::from_millis(500);
 
 /// Time during which a newly listed instance counts as alive without having been heard.
 const GRACE: Duration = Duration::from_secs(3);
@@ -23,10 +29,12 @@
 struct Member {
     status: MemberStatus,
     heard: Duration,
+    /// Set when the link to it broke, until it is heard again.
+    lost: bool,
 }
 
 /// Liveness of the fleet as one instance sees it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Members {
     members: BTreeMap<InstanceId, Member>,
     /// When a listed instance was first seen in the list.
@@ -35,9 +43,22 @@
     active: Vec<InstanceId>,
     /// Gossip goes round the members from here.
     cursor: usize,
+    /// Pause between two heartbeats of a small fleet.
+    beat: Duration,
 }
 
 impl Members {
+    /// Makes an empty fleet whose instances send heartbeats at a pace.
+    pub fn new(beat: Duration) -> Self {
+        Self {
+            members: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            active: Vec::new(),
+            cursor: 0,
+            beat,
+        }
+    }
+
     /// Takes in what a heartbeat tells of one member.
     pub fn hear(&mut self, status: MemberStatus, now: Duration) {
         let known = self.members.get(&status.instance);
@@ -45,11 +66,48 @@
             (status.incarnation, status.beat) > (known.status.incarnation, known.status.beat)
         });
         if is_news {
-            self.members
-                .insert(status.instance.clone(), Member { status, heard: now });
+            self.members.insert(
+                status.instance.clone(),
+                Member {
+                    status,
+                    heard: now,
+                    lost: false,
+                },
+            );
         }
     }
 
+    /// Takes in that the link to a member broke: it counts as dead until it is heard again.
+    ///
+    /// A process that dies resets its connections, so this is how its death shows first.
+    pub fn lose(&mut self, id: &InstanceId) {
+        if let Some(member) = self.members.get_mut(id) {
+            member.lost = true;
+        }
+    }
+
+    /// Returns the pause between two heartbeats.
+    pub fn beat_every(&self, least: Duration) -> Duration {
+        if self.is_large() {
+            least.max(BEAT_LARGE)
+        } else {
+            least
+        }
+    }
+
+    /// Returns the silence after which an instance counts as dead.
+    pub fn dead_after(&self) -> Duration {
+        if self.is_large() {
+            DEAD_AFTER_LARGE
+        } else {
+            self.beat * DEAD_BEATS
+        }
+    }
+
+    fn is_large(&self) -> bool {
+        self.listed.len() > NEIGHBOURS + 1
+    }
+
     /// Recomputes which instances are active; returns those that became silent and heard again.
     pub fn refresh(
         &mut self,
@@ -94,11 +152,11 @@
         self.active.binary_search(id).is_ok()
     }
 
-    /// Whether an instance was heard within [`DEAD_AFTER`], draining or not.
+    /// Whether an instance was heard lately, draining or not.
     pub fn is_heard(&self, id: &InstanceId, now: Duration) -> bool {
         self.members
             .get(id)
-            .is_some_and(|member| now < member.heard + DEAD_AFTER)
+            .is_some_and(|member| self.is_fresh(member, now))
     }
 
     /// Whether enough listed instances are heard to count as the larger part of the fleet.
@@ -142,7 +200,7 @@
         let fresh: Vec<&Member> = self
             .members
             .values()
-            .filter(|member| now < member.heard + DEAD_AFTER)
+            .filter(|member| self.is_fresh(member, now))
             .collect();
         let count = fresh.len().min(GOSSIP_MEMBERS);
         let picked = (0..count)
@@ -167,6 +225,10 @@
         }
     }
 
+    fn is_fresh(&self, member: &Member, now: Duration) -> bool {
+        !member.lost && now < member.heard + self.dead_after()
+    }
+
     fn has_drained(&self, id: &InstanceId) -> bool {
         self.members
             .get(id)
@@ -179,7 +241,7 @@
             return false;
         }
         match self.members.get(id) {
-            Some(member) => !member.status.draining && now < member.heard + DEAD_AFTER,
+            Some(member) => !member.status.draining && self.is_fresh(member, now),
             None => self
                 .listed
                 .get(id)
--- a/crates/core/src/plugins/lease.rs
+++ b/crates/core/src/plugins/lease.rs
@@ -19,8 +19,11 @@
 /// Heirs that a lease names, in other availability zones where there are some.
 const HEIRS: usize = 2;
 
+/// Longest term that a heir promises for, in milliseconds.
+const LONGEST_TERM_MS: u64 = 120_000;
+
 /// Pause before a renewal whose reply was lost is sent again.
-const RENEW_AGAIN: Duration = Duration::from_millis(200);
+const RENEW_AGAIN: Duration = Duration::from_millis(100);
 
 fn tick(core: &mut Core) {
     note_lapse(core);
@@ -38,13 +41,19 @@
         core.schedule.renew = core.schedule.renew.min(now + RENEW_AGAIN);
     }
     // Promises are only needed when a renewal is late.
-    let late = core.settings.renew_every() + core.settings.renew_every() / 3;
+    let renew_every = current_term(core) / 3;
+    let late = renew_every + renew_every / 3;
     if now >= core.schedule.ask_heirs && core.lease.unconfirmed_for(now) > late {
-        core.schedule.ask_heirs = now + core.settings.renew_every() / 2;
+        core.schedule.ask_heirs = now + renew_every / 2;
         ask_heirs(core);
     }
 }
 
+fn current_term(core: &Core) -> Duration {
+    let listed = core.directory.instances().count();
+    core.settings.lease_term(listed)
+}
+
 fn note_lapse(core: &mut Core) {
     let valid = core.lease.is_valid(core.now);
     if core.schedule.was_valid && !valid {
@@ -56,9 +65,10 @@
 
 fn renew(core: &mut Core) {
     let heirs = choose_heirs(core);
-    let transaction = core.lease.renewal(heirs, core.now);
+    let term = current_term(core);
+    let transaction = core.lease.renewal(heirs, term, core.now);
     core.schedule.renewing = true;
-    core.schedule.renew = core.now + core.settings.renew_every();
+    core.schedule.renew = core.now + term / 3;
     core.transact(transaction, Box::new(renewed));
 }
 
@@ -111,16 +121,17 @@
 
 fn ask_heirs(core: &mut Core) {
     let (number, heirs) = core.lease.ask(core.now);
-    let renewal = core.lease.renewal_number();
+    let term_ms = core.lease.term().as_millis() as u64;
     for heir in heirs {
-        core.send(&heir, PeerMsg::PromiseAsk { number, renewal });
+        core.send(&heir, PeerMsg::PromiseAsk { number, term_ms });
     }
 }
 
 fn peer(core: &mut Core, from: &InstanceId, msg: PeerMsg) -> Option<PeerMsg> {
     match msg {
-        PeerMsg::PromiseAsk { number, .. } => {
-            if core.wards.promise(from, core.now) {
+        PeerMsg::PromiseAsk { number, term_ms } => {
+            let term = Duration::from_millis(term_ms.min(LONGEST_TERM_MS));
+            if core.wards.promise(from, term, core.now) {
                 core.send(from, PeerMsg::Promised { number });
             }
         }
@@ -132,7 +143,8 @@
 
 fn read_fleet(core: &mut Core) {
     core.schedule.reading_fleet = true;
-    core.schedule.read_fleet = core.now + core.settings.poll_every;
+    let pause = (current_term(core) / 4).min(core.settings.poll_every);
+    core.schedule.read_fleet = core.now + pause;
     let after = core.schedule.fleet_revision;
     let read = PlatformOp::Rows {
         prefix: SmolStr::new_static(FLEET_PREFIX),
--- a/crates/core/src/plugins/membership.rs
+++ b/crates/core/src/plugins/membership.rs
@@ -4,8 +4,8 @@
 
 use jacinthlever_types::{InstanceId, PeerMsg};
 
-use crate::plugins::configuration;
 use crate::plugins::where_to::KEEP_MS;
+use crate::plugins::{configuration, scheduling};
 use crate::{Action, Core, LogEvent, Plugin};
 
 inventory::submit! {
@@ -17,17 +17,28 @@
 
 fn tick(core: &mut Core) {
     if core.now >= core.schedule.beat {
-        core.schedule.beat = core.now + core.settings.beat_every;
+        core.schedule.beat = core.now + core.members.beat_every(core.settings.beat_every);
         beat(core);
     }
+    refresh(core);
+    if core.draining && !core.stopped {
+        drain(core);
+    }
+}
+
+/// Takes in that the link to a peer broke.
+pub(crate) fn peer_lost(core: &mut Core, peer: &InstanceId) {
+    core.members.lose(peer);
+    refresh(core);
+    scheduling::follow_members(core);
+}
+
+fn refresh(core: &mut Core) {
     let own = core.status();
     let (silent, heard) = core.members.refresh(&own, &core.directory, core.now);
     let others = |ids: Vec<InstanceId>| ids.into_iter().filter(|id| *id != own.instance);
     others(silent).for_each(|peer| core.log(LogEvent::PeerSilent { peer }));
     others(heard).for_each(|peer| core.log(LogEvent::PeerHeard { peer }));
-    if core.draining && !core.stopped {
-        drain(core);
-    }
 }
 
 fn beat(core: &mut Core) {
--- a/crates/core/src/plugins/queue.rs
+++ b/crates/core/src/plugins/queue.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use jacinthlever_types::{
-    CellId, Code, EngineId, HoldEnd, HoldOutcome, HoldRequest, InstanceId, PeerMsg, RequestId, Run,
-    Verdict,
+    Adoption, CellId, Code, EngineId, HoldEnd, HoldOutcome, HoldRequest, InstanceId, PeerMsg,
+    RequestId, Run, Verdict,
 };
 
 use crate::request::Hold;
@@ -75,12 +75,8 @@
         return retry_cell(core, key);
     };
     let cell = hold.cell.clone();
-    let moved = core.keeper.keeper_of(&cell) != Some(&hold.keeper);
-    if moved || now >= hold.ask_at {
+    if now >= hold.ask_at {
         let since = hold.since;
-        if moved {
-            release(core, key, HoldEnd::Done);
-        }
         ask(core, key, cell, since);
     }
     Flow::Wait
@@ -101,22 +97,69 @@
     Flow::Wait
 }
 
-fn ask(core: &mut Core, key: ReqKey, cell: CellId, since: Duration) {
-    let now = core.now;
-    let Some(keeper) = core.keeper.keeper_of(&cell).cloned() else {
+/// Tells new keepers of the engines that this instance's requests hold, and asks them anew for
+/// those that wait.
+pub(crate) fn follow_keepers(core: &mut Core) {
+    let moved: Vec<(ReqKey, CellId, InstanceId)> = core
+        .requests
+        .iter()
+        .filter_map(|(key, request)| {
+            let hold = request.hold.as_ref()?;
+            let keeper = core.keeper.keeper_of(&hold.cell)?;
+            (*keeper != hold.keeper).then(|| (key, hold.cell.clone(), keeper.clone()))
+        })
+        .collect();
+    // Engines in use are told of first, so that they are not granted twice.
+    for (key, cell, keeper) in &moved {
+        hand_over(core, *key, cell, keeper);
+    }
+    for (key, cell, _) in moved {
+        let waits = core
+            .requests
+            .get(key)
+            .and_then(|request| request.hold.as_ref());
+        if let Some(hold) = waits.filter(|hold| hold.allocation.is_none()) {
+            let since = hold.since;
+            release(core, key, HoldEnd::Done);
+            ask(core, key, cell, since);
+        }
+    }
+}
+
+fn hand_over(core: &mut Core, key: ReqKey, cell: &CellId, keeper: &InstanceId) {
+    let Some(ask) = hold_request(core, key, cell) else {
         return;
     };
     let Some(request) = core.requests.get_mut(key) else {
         return;
     };
-    let Target::Model { prefix, .. } = &request.inbound.target else {
+    let decoding = request.is_decoding();
+    let Some(hold) = &mut request.hold else {
+        return;
+    };
+    let Some(allocation) = hold.allocation.clone() else {
         return;
     };
+    hold.keeper = keeper.clone();
+    let adoption = Adoption {
+        request: ask,
+        allocation,
+        decoding,
+    };
+    core.send(keeper, PeerMsg::Adopt(Box::new(adoption)));
+}
+
+fn hold_request(core: &Core, key: ReqKey, cell: &CellId) -> Option<HoldRequest> {
+    let now = core.now;
+    let request = core.requests.get(key)?;
+    let Target::Model { prefix, .. } = &request.inbound.target else {
+        return None;
+    };
     let weight = request
         .customer
         .as_ref()
         .and_then(|c| core.config.customer(c));
-    let ask = HoldRequest {
+    Some(HoldRequest {
         id: request.id.clone(),
         attempt: request.attempt,
         cell: cell.clone(),
@@ -129,6 +172,20 @@
         due_ms: request.deadline.saturating_sub(now).as_millis() as u32,
         suspect: request.suspect,
         avoid: request.avoid.iter().cloned().map(EngineId).collect(),
+        prefilled: request.kv.as_ref().map(|kv| kv.engine.clone()),
+    })
+}
+
+fn ask(core: &mut Core, key: ReqKey, cell: CellId, since: Duration) {
+    let now = core.now;
+    let Some(keeper) = core.keeper.keeper_of(&cell).cloned() else {
+        return;
+    };
+    let Some(ask) = hold_request(core, key, &cell) else {
+        return;
+    };
+    let Some(request) = core.requests.get_mut(key) else {
+        return;
     };
     request.hold = Some(Hold {
         cell,
--- a/crates/core/src/plugins/scheduling.rs
+++ b/crates/core/src/plugins/scheduling.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::kernel::CallOwner;
+use crate::plugins::queue;
 use crate::{Call, Cell, Core, Plugin};
 
 inventory::submit! {
@@ -19,13 +20,20 @@
 /// Pause between two probes of an engine.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 
-fn tick(core: &mut Core) {
+/// Follows the list and the active instances; returns whether cells were kept or left.
+pub(crate) fn follow_members(core: &mut Core) -> bool {
     let own = core.settings.instance.clone();
     let log = core
         .keeper
         .refresh(&own, core.members.active(), &core.directory);
     let has_new = !log.is_empty();
     log.into_iter().for_each(|event| core.log(event));
+    queue::follow_keepers(core);
+    has_new
+}
+
+fn tick(core: &mut Core) {
+    let has_new = follow_members(core);
     if has_new || core.now >= core.schedule.probe {
         core.schedule.probe = core.now + PROBE_EVERY;
         probe(core);
@@ -96,6 +104,11 @@
                 );
             }
         },
+        PeerMsg::Adopt(adoption) => {
+            let cell = adoption.request.cell.clone();
+            let from = from.clone();
+            with_cell(core, &cell, |cell| cell.adopt(from, *adoption, now));
+        }
         PeerMsg::Prefilled {
             id,
             cell,
--- a/crates/core/src/plugins/slot_moves.rs
+++ b/crates/core/src/plugins/slot_moves.rs
@@ -18,7 +18,7 @@
 }
 
 /// Pause between two looks at what is to be moved.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 
 /// Time for which an instance must be active before slots move to it.
 const SETTLED_AFTER: Duration = Duration::from_secs(2);
@@ -39,7 +39,7 @@
     if let Some(release) = core.schedule.releasing.clone() {
         return send_release(core, release);
     }
-    if !core.lease.is_valid(now) || core.stopped {
+    if !core.lease.is_valid(now) || core.stopped || !has_heirs(core) {
         return;
     }
     if !core.draining && (reclaim(core) || take_over(core) || take_free(core)) {
@@ -48,6 +48,11 @@
     release(core);
 }
 
+/// Whether somebody could take over what this instance holds, if there is anybody else.
+fn has_heirs(core: &Core) -> bool {
+    !core.lease.heirs().is_empty() || core.members.active().len() <= 1
+}
+
 fn note_active(core: &mut Core) {
     let now = core.now;
     let active = core.members.active();
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jacinthlever_types::{
-    Allocation, CellId, Class, CustomerId, InstanceId, RequestId, RouteId, Run, Verdict,
+    Allocation, CellId, Class, CustomerId, EngineId, InstanceId, RequestId, RouteId, Run, Verdict,
 };
 use slotmap::new_key_type;
 use smol_str::SmolStr;
@@ -90,6 +90,19 @@
     pub since: Duration,
 }
 
+/// KV cache of the prompt that a prefill engine keeps for a short time.
+#[derive(Clone, Debug)]
+pub struct Kv {
+    /// Engine that keeps it.
+    pub engine: EngineId,
+    /// Address of the engine.
+    pub address: SmolStr,
+    /// Handle on the engine.
+    pub handle: SmolStr,
+    /// When it was made.
+    pub made: Duration,
+}
+
 /// A caller's request and everything held for it.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -137,6 +150,8 @@
     pub avoid: Vec<SmolStr>,
     /// Tokens of prompt as counted by the engine.
     pub counted_prompt: Option<u32>,
+    /// KV cache of the prompt, until a decode has imported it.
+    pub kv: Option<Kv>,
     /// Tokens of output handed to the caller.
     pub position: u32,
     /// Whether `position` is exact although a decode is under way.
@@ -173,6 +188,7 @@
             resumes: 0,
             avoid: Vec::new(),
             counted_prompt: None,
+            kv: None,
             position: 0,
             position_known: false,
             first_token: None,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -5,6 +5,9 @@
 use jacinthlever_types::{InstanceId, ZoneId};
 use smol_str::SmolStr;
 
+/// Lease term for each instance of a large fleet.
+const TERM_PER_INSTANCE: Duration = Duration::from_millis(36);
+
 /// Identity of an instance and the periods of its protocols.
 #[derive(Clone, Debug)]
 pub struct CoreSettings {
@@ -18,11 +21,11 @@
     pub caller_address: SmolStr,
     /// Seed of all random choices.
     pub seed: u64,
-    /// Term of the instance's lease; a crash is taken over after it.
+    /// Least term of the instance's lease; a crash is taken over after it.
     pub lease_term: Duration,
     /// Longest time on promises of heirs alone, while the table is away.
     pub promise_cap: Duration,
-    /// Pause between two reads of the table.
+    /// Longest pause between two reads of the table.
     pub poll_every: Duration,
     /// Pause between two heartbeats.
     pub beat_every: Duration,
@@ -39,21 +42,19 @@
             zone,
             caller_address,
             seed: 0,
-            lease_term: Duration::from_secs(3),
+            lease_term: Duration::from_millis(750),
             promise_cap: Duration::from_secs(12 * 60),
             poll_every: Duration::from_secs(1),
-            beat_every: Duration::from_millis(500),
+            beat_every: Duration::from_millis(250),
             max_requests: 512,
         }
     }
 
-    /// Returns the pause between two renewals of the lease.
-    pub fn renew_every(&self) -> Duration {
-        self.lease_term / 3
-    }
-
-    /// Returns what a heir waits beyond a term, for the drift of clocks over it.
-    pub fn lease_margin(&self) -> Duration {
-        self.lease_term / 10
+    /// Returns the term of the lease in a fleet of a size.
+    ///
+    /// The term grows with the fleet, so that all renewals together stay within what the table
+    /// service takes; see docs/CAPACITY.md.
+    pub fn lease_term(&self, instances: usize) -> Duration {
+        self.lease_term.max(TERM_PER_INSTANCE * instances as u32)
     }
 }
--- a/crates/core/src/wards.rs
+++ b/crates/core/src/wards.rs
@@ -20,8 +20,6 @@
 #[derive(Debug)]
 pub struct Wards {
     own: InstanceId,
-    term: Duration,
-    margin: Duration,
     cap: Duration,
     wards: BTreeMap<InstanceId, Ward>,
     promised_until: BTreeMap<InstanceId, Duration>,
@@ -33,8 +31,6 @@
     pub fn new(settings: &CoreSettings) -> Self {
         Self {
             own: settings.instance.clone(),
-            term: settings.lease_term,
-            margin: settings.lease_margin(),
             cap: settings.promise_cap,
             wards: BTreeMap::new(),
             promised_until: BTreeMap::new(),
@@ -75,12 +71,13 @@
     }
 
     /// Promises not to take an instance's slots for one term; false if a take may be under way.
-    pub fn promise(&mut self, instance: &InstanceId, now: Duration) -> bool {
+    pub fn promise(&mut self, instance: &InstanceId, term: Duration, now: Duration) -> bool {
         if self.taking.contains(instance) {
             return false;
         }
-        self.promised_until
-            .insert(instance.clone(), now + self.term + self.margin);
+        let until = now + term + margin(term);
+        let promised = self.promised_until.entry(instance.clone()).or_default();
+        *promised = (*promised).max(until);
         true
     }
 
@@ -118,16 +115,18 @@
             return false;
         }
         let is_heir = ward.record.heirs.contains(&self.own);
-        let wait = if is_heir {
-            self.term
-        } else {
-            self.cap + self.term
-        };
+        let term = Duration::from_millis(ward.record.term_ms);
+        let wait = if is_heir { term } else { self.cap + term };
         let promised = self
             .promised_until
             .get(instance)
             .copied()
             .unwrap_or_default();
-        now >= ward.first_seen + wait + self.margin && now >= promised
+        now >= ward.first_seen + wait + margin(term) && now >= promised
     }
 }
+
+/// Returns what a heir waits beyond a term, for the drift of clocks over it.
+fn margin(term: Duration) -> Duration {
+    term / 10
+}
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -225,7 +225,7 @@
     }
 
     fn decode(&self, request: &InFlight, address: &str, job: Decode) -> CallResult {
-        let from = request.position();
+        let (from, _) = request.begin(&job.attempt);
         let body = DecodeRequest {
             request: job.attempt.clone(),
             source: job.source,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -118,7 +118,7 @@
             list_address: reader.address("list_address"),
             operator_credential: reader.credential("operator_credential"),
             peer_credential: reader.credential("peer_credential"),
-            lease_term: reader.millis("lease_term_ms", 3_000, 1_000..=60_000),
+            lease_term: reader.millis("lease_term_ms", 750, 300..=60_000),
             max_requests: reader.number("max_requests", 256, 1..=4_096) as usize,
             max_body: reader.number("max_body_bytes", 4 << 20, 1_024..=(64 << 20)) as usize,
             head_timeout: reader.millis("head_timeout_ms", 5_000, 100..=60_000),
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -108,6 +108,9 @@
     /// Engines that failed earlier attempts.
     #[serde(default)]
     pub avoid: Vec<EngineId>,
+    /// Engine that still keeps the KV cache of the prompt, so that no prefill is needed.
+    #[serde(default)]
+    pub prefilled: Option<EngineId>,
 }
 
 impl HoldRequest {
@@ -128,6 +131,17 @@
     pub decode_address: SmolStr,
 }
 
+/// A hold that an earlier keeper granted.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Adoption {
+    /// The request as it was asked.
+    pub request: HoldRequest,
+    /// The engines.
+    pub allocation: Allocation,
+    /// Whether the prefill is done.
+    pub decoding: bool,
+}
+
 /// Answer to a [`HoldRequest`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -259,8 +273,8 @@
     PromiseAsk {
         /// Number of the question.
         number: u64,
-        /// Renewal that the sender last saw confirmed.
-        renewal: u64,
+        /// Term for which the promise is asked, in milliseconds.
+        term_ms: u64,
     },
     /// The heir's promise.
     Promised {
@@ -318,6 +332,8 @@
     },
     /// Asks for engines.
     Hold(HoldRequest),
+    /// Tells a new keeper of engines that an earlier one granted.
+    Adopt(Box<Adoption>),
     /// Answer to a hold.
     HoldReply {
         /// The caller's request.
