--- a/crates/core/benches/policy/bounds.rs
+++ b/crates/core/benches/policy/bounds.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
 
 use jacinthlever_fakes::RouterKind;
 use serde_json::{Value, json};
@@ -78,34 +81,58 @@
 
 /// Plays all wanted cases and returns their figures.
 pub fn run(seed: u64, wanted: impl Fn(&Case) -> bool) -> Vec<Line> {
-    let mut calm: BTreeMap<(&str, u64), Figures> = BTreeMap::new();
+    let cases: Vec<Case> = Case::all(seed)
+        .into_iter()
+        .filter(|case| wanted(case))
+        .collect();
+    let figures = play_all(&cases);
+    let calm = |deployment: &str, load: f64| {
+        let mut all = cases.iter().zip(&figures);
+        let found = all.find(|(case, _)| {
+            case.fault == Fault::Calm && case.deployment.name == deployment && case.load == load
+        });
+        found.map(|(_, (ours, _))| ours.goodput)
+    };
     let mut lines = Vec::new();
-    for case in Case::all(seed) {
-        let key = (case.deployment.name, (case.load * 100.0) as u64);
-        if !wanted(&case) {
-            continue;
-        }
-        let ours = measure(case.play(RouterKind::Core), case.fault);
-        let naive = measure(case.play(RouterKind::Naive), case.fault);
-        let quiet = calm.entry(key).or_insert_with(|| match case.fault {
-            Fault::Calm => ours,
-            _ => {
-                let quiet = Case {
-                    fault: Fault::Calm,
-                    ..case.clone()
-                };
-                measure(quiet.play(RouterKind::Core), Fault::Calm)
-            }
+    for (case, (ours, naive)) in cases.iter().zip(&figures) {
+        let quiet = calm(case.deployment.name, case.load).unwrap_or_else(|| {
+            let quiet = Case {
+                fault: Fault::Calm,
+                ..case.clone()
+            };
+            measure(quiet.play(RouterKind::Core), Fault::Calm).goodput
         });
-        let quiet = quiet.goodput;
-        let full = calm
-            .get(&(case.deployment.name, 100))
-            .map(|figures| figures.goodput);
-        lines.extend(compare(&case, &naive, &ours, quiet, full));
+        let full = calm(case.deployment.name, 1.0);
+        lines.extend(compare(case, naive, ours, quiet, full));
     }
     lines
 }
 
+/// Plays each case with both routers, on all processors; the figures do not depend on their number.
+fn play_all(cases: &[Case]) -> Vec<(Figures, Figures)> {
+    let next = AtomicUsize::new(0);
+    let done = Mutex::new(BTreeMap::new());
+    let threads = thread::available_parallelism().map_or(1, usize::from);
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(case) = cases.get(number) else {
+                        return;
+                    };
+                    let ours = measure(case.play(RouterKind::Core), case.fault);
+                    let naive = measure(case.play(RouterKind::Naive), case.fault);
+                    let mut done = done.lock().unwrap_or_else(PoisonError::into_inner);
+                    done.insert(number, (ours, naive));
+                }
+            });
+        }
+    });
+    let done = done.into_inner().unwrap_or_else(PoisonError::into_inner);
+    done.into_values().collect()
+}
+
 fn compare(
     case: &Case,
     naive: &Figures,
--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -140,7 +140,7 @@
             if self.holds[key].request.attempt >= request.attempt {
                 return self.repeat_answer(key);
             }
-            self.remove(key);
+            self.remove(key, now);
         }
         let due = now + Duration::from_millis(u64::from(request.due_ms));
         if let Some(retry_after_ms) = self.refusal(&request, due, now) {
@@ -184,10 +184,10 @@
         });
         self.by_id.insert(id, key);
         if let Some(engine) = self.engines.get_mut(&decode) {
-            engine.hold(key, pages, suspect);
+            engine.hold(key, pages, suspect, now);
         }
         if let Some(engine) = self.engines.get_mut(&prefill).filter(|_| !decoding) {
-            engine.hold(key, 0, suspect);
+            engine.hold(key, 0, suspect, now);
         }
     }
 
@@ -207,7 +207,7 @@
             .saturating_sub(u64::from(cached_tokens));
         average(&mut self.prefill_seconds, took.as_secs_f64());
         if let Some(engine) = self.engines.get_mut(&hold.prefill) {
-            engine.release(key);
+            engine.release(key, now);
             engine.measure_prefill(fresh as f64, took);
             engine
                 .cache
@@ -234,7 +234,7 @@
             };
             if was_prefill && *id == hold.prefill {
                 // The message that the prefill is done was lost.
-                engine.release(key);
+                engine.release(key, now);
             }
             engine.cleared(key);
             if engine.succeed(now) {
@@ -266,7 +266,7 @@
         }
         let customer = self.holds[key].request.customer.clone();
         self.queue.credit(&customer, unused_tokens as f64);
-        self.remove(key);
+        self.remove(key, now);
         self.pump(now);
     }
 
@@ -278,7 +278,7 @@
         now: Duration,
     ) {
         match (load, self.engines.get_mut(id)) {
-            (Some(load), Some(engine)) => engine.report(load),
+            (Some(load), Some(engine)) => engine.report(load, now),
             (None, Some(_)) => self.fail(&id.clone(), EngineFault::Down, now),
             _ => {}
         }
@@ -304,7 +304,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in lost {
-            self.remove(key);
+            self.remove(key, now);
         }
         self.pump(now);
     }
@@ -368,11 +368,11 @@
             decode_address: d.address.clone(),
         };
         if let Some(engine) = self.engines.get_mut(&prefill).filter(|_| !keeps_prefill) {
-            engine.hold(key, 0, suspect);
+            engine.hold(key, 0, suspect, now);
             engine.cache.insert(&prefix, now);
         }
         if let Some(engine) = self.engines.get_mut(&decode) {
-            engine.hold(key, pages, suspect);
+            engine.hold(key, pages, suspect, now);
         }
         self.tell(key, HoldOutcome::Granted(allocation));
     }
@@ -466,7 +466,7 @@
                 retry_after_ms: retry_after_ms.clamp(100, 60_000),
             };
             self.tell(key, outcome);
-            self.remove(key);
+            self.remove(key, now);
         }
     }
 
@@ -542,7 +542,7 @@
         }
     }
 
-    fn remove(&mut self, key: HoldKey) {
+    fn remove(&mut self, key: HoldKey, now: Duration) {
         let Some(hold) = self.holds.remove(key) else {
             return;
         };
@@ -550,7 +550,7 @@
         self.queue.remove(key);
         for id in [&hold.prefill, &hold.decode] {
             if let Some(engine) = self.engines.get_mut(id) {
-                engine.release(key);
+                engine.release(key, now);
             }
         }
     }
--- a/crates/core/src/engine_state.rs
+++ b/crates/core/src/engine_state.rs
@@ -15,6 +15,12 @@
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(20);
 
+/// Age that a load report may have when it is read.
+const REPORT_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time after which a trial that was never heard of again is repeated.
+const LONGEST_TRIAL: Duration = Duration::from_secs(5);
+
 /// Load reports that an engine's use by others is taken from.
 const REPORTS: usize = 3;
 
@@ -43,6 +49,8 @@
     pub prefill_rate: f64,
     /// Pages of the holds on it, by hold.
     held: BTreeMap<HoldKey, u32>,
+    /// Own use in slots and pages each time that it changed lately.
+    recent: VecDeque<(Duration, u32, u32)>,
     /// The one suspect request that runs on it.
     suspect: Option<HoldKey>,
     load: Option<EngineLoad>,
@@ -52,6 +60,8 @@
     paused_until: Duration,
     /// Set from the end of a pause until one request has succeeded.
     on_trial: bool,
+    /// When the request was granted that tries the engine out.
+    trial: Option<Duration>,
 }
 
 impl EngineState {
@@ -66,19 +76,23 @@
             cache: PrefixCache::default(),
             prefill_rate: DEFAULT_PREFILL_RATE,
             held: BTreeMap::new(),
+            recent: VecDeque::new(),
             suspect: None,
             load: None,
             foreign: VecDeque::new(),
             failures: 0,
             paused_until: Duration::ZERO,
             on_trial: false,
+            trial: None,
         }
     }
 
     /// Takes in a load report; use that the own holds do not explain is somebody else's.
-    pub fn report(&mut self, load: EngineLoad) {
-        let slots = load.used.saturating_sub(self.held.len() as u32);
-        let pages = load.used_pages.saturating_sub(self.held.values().sum());
+    pub fn report(&mut self, load: EngineLoad, now: Duration) {
+        // The report is old, so it is compared with the most that was held since it was made.
+        let (held_slots, held_pages) = self.most_held(now);
+        let slots = load.used.saturating_sub(held_slots);
+        let pages = load.used_pages.saturating_sub(held_pages);
         self.foreign.push_back((slots, pages));
         if self.foreign.len() > REPORTS {
             self.foreign.pop_front();
@@ -92,8 +106,10 @@
         if self.state == ListState::Leaving || now < self.paused_until || self.suspect.is_some() {
             return false;
         }
-        if (self.on_trial || (suspect && self.role == EngineRole::Prefill)) && !self.held.is_empty()
-        {
+        if self.on_trial && self.trial.is_some_and(|since| now < since + LONGEST_TRIAL) {
+            return false;
+        }
+        if suspect && self.role == EngineRole::Prefill && !self.held.is_empty() {
             return false;
         }
         self.used_slots() < load.slots && self.used_pages() + pages <= load.pages
@@ -120,15 +136,20 @@
     }
 
     /// Adds a hold.
-    pub fn hold(&mut self, key: HoldKey, pages: u32, suspect: bool) {
+    pub fn hold(&mut self, key: HoldKey, pages: u32, suspect: bool, now: Duration) {
         self.held.insert(key, pages);
+        self.note_held(now);
+        if self.on_trial {
+            self.trial = Some(now);
+        }
         if suspect {
             self.suspect = Some(key);
         }
     }
 
     /// Removes a hold.
-    pub fn release(&mut self, key: HoldKey) {
+    pub fn release(&mut self, key: HoldKey, now: Duration) {
+        self.note_held(now);
         self.held.remove(&key);
         self.cleared(key);
     }
@@ -149,6 +170,7 @@
         let pause = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(10));
         self.paused_until = now + pause.min(LONGEST_PAUSE);
         self.on_trial = true;
+        self.trial = None;
         self.failures += 1;
         self.failures == 1
     }
@@ -161,6 +183,7 @@
         let recovered = self.failures > 0;
         self.failures = 0;
         self.on_trial = false;
+        self.trial = None;
         recovered
     }
 
@@ -175,6 +198,30 @@
         self.held.len()
     }
 
+    fn note_held(&mut self, now: Duration) {
+        let pages = self.held.values().sum();
+        self.recent.push_back((now, self.held.len() as u32, pages));
+        while self
+            .recent
+            .front()
+            .is_some_and(|(at, ..)| now > *at + REPORT_AGE)
+        {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Returns the most slots and pages that were held at once since a report may have been made.
+    fn most_held(&self, now: Duration) -> (u32, u32) {
+        let recent = self
+            .recent
+            .iter()
+            .filter(|(at, ..)| now <= *at + REPORT_AGE);
+        let held = (self.held.len() as u32, self.held.values().sum());
+        recent.fold(held, |most, (_, slots, pages)| {
+            (most.0.max(*slots), most.1.max(*pages))
+        })
+    }
+
     fn used_slots(&self) -> u32 {
         self.held.len() as u32 + self.least_foreign().0
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -124,7 +124,7 @@
             head_timeout: reader.millis("head_timeout_ms", 5_000, 100..=60_000),
             body_timeout: reader.millis("body_timeout_ms", 10_000, 100..=600_000),
             prefill_timeout: reader.millis("prefill_timeout_ms", 5_000, 100..=600_000),
-            token_timeout: reader.millis("token_timeout_ms", 1_500, 100..=60_000),
+            token_timeout: reader.millis("token_timeout_ms", 800, 100..=60_000),
             service_timeout: reader.millis("service_timeout_ms", 10_000, 100..=600_000),
             platform_timeout: reader.millis("platform_timeout_ms", 1_000, 100..=10_000),
         };
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -39,7 +39,7 @@
 const PREFILL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time without a token after which a shell gives a decode up.
-const TOKEN_TIMEOUT: Duration = Duration::from_millis(1_500);
+const TOKEN_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time in which a plain service must answer.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -402,8 +402,10 @@
     }
 
     fn has_free(&self, role: EngineRole, spare: u32) -> bool {
-        self.engines.values().any(|engine| {
-            let works = engine.up && engine.faults == EngineFaults::default();
+        let asker = &self.nodes[0].id;
+        self.engines.iter().any(|(address, engine)| {
+            let reached = self.network.reaches(asker, address);
+            let works = reached && engine.up && engine.faults == EngineFaults::default();
             let used = engine.streams.len() as u32;
             works
                 && engine.spec.role == role
