--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -8,7 +8,7 @@
 use crate::Directory;
 
 /// Silence after which an instance of a small fleet counts as dead, in heartbeats.
-const DEAD_BEATS: u32 = 4;
+const DEAD_BEATS: u32 = 3;
 
 /// Silence after which an instance of a large fleet counts as dead, as gossip takes its time.
 const DEAD_AFTER_LARGE: Duration = Duration::from_millis(2_500);
--- a/crates/core/src/plugins/queue.rs
+++ b/crates/core/src/plugins/queue.rs
@@ -7,6 +7,7 @@
     RequestId, Run, Verdict,
 };
 
+use crate::plugins::membership;
 use crate::request::Hold;
 use crate::{Core, Flow, Plugin, ReqKey, Request, Sample, Stage, Target};
 
@@ -22,6 +23,9 @@
 /// Pause before a keeper is asked again, as any message may be lost.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 
+/// Silence after which a keeper that was asked counts as dead.
+const KEEPER_SILENT: Duration = Duration::from_millis(400);
+
 /// Time after the deadline that the keeper has to tell of its refusal.
 const GRACE: Duration = Duration::from_millis(250);
 
@@ -75,6 +79,13 @@
         return retry_cell(core, key);
     };
     let cell = hold.cell.clone();
+    if hold
+        .unanswered
+        .is_some_and(|since| now >= since + KEEPER_SILENT)
+    {
+        let keeper = hold.keeper.clone();
+        return suspect_keeper(core, key, &keeper);
+    }
     if now >= hold.ask_at {
         let since = hold.since;
         ask(core, key, cell, since);
@@ -82,6 +93,23 @@
     Flow::Wait
 }
 
+/// Takes a keeper that does not answer for dead, until a heartbeat shows otherwise.
+///
+/// A wrong guess makes two keepers for a while, which costs speed only.
+fn suspect_keeper(core: &mut Core, key: ReqKey, keeper: &InstanceId) -> Flow {
+    if let Some(hold) = core
+        .requests
+        .get_mut(key)
+        .and_then(|request| request.hold.as_mut())
+    {
+        hold.unanswered = None;
+    }
+    if *keeper != core.settings.instance {
+        membership::peer_lost(core, keeper);
+    }
+    Flow::Wait
+}
+
 fn retry_cell(core: &mut Core, key: ReqKey) -> Flow {
     let Some(request) = core.requests.get(key) else {
         return Flow::Done;
@@ -187,10 +215,13 @@
     let Some(request) = core.requests.get_mut(key) else {
         return;
     };
+    let asked_before = request.hold.as_ref().filter(|hold| hold.keeper == keeper);
+    let unanswered = asked_before.and_then(|hold| hold.unanswered);
     request.hold = Some(Hold {
         cell,
         keeper: keeper.clone(),
         ask_at: now + ASK_AGAIN,
+        unanswered: unanswered.or(Some(now)),
         since,
         allocation: None,
     });
@@ -276,6 +307,7 @@
         return;
     };
     hold.ask_at = now + ASK_AGAIN;
+    hold.unanswered = None;
     core.keeper.note_pressure(&hold.cell, pressure);
     match outcome {
         HoldOutcome::Queued | HoldOutcome::NotKeeper => {}
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -60,6 +60,8 @@
     pub keeper: InstanceId,
     /// When the keeper is asked again.
     pub ask_at: Duration,
+    /// When the keeper was first asked, until it answers.
+    pub unanswered: Option<Duration>,
     /// When engines were first asked for.
     pub since: Duration,
     /// The engines, once granted.
@@ -138,6 +140,8 @@
     pub calling: Option<Calling>,
     /// Attempts at backend servers so far.
     pub attempt: u32,
+    /// Attempts that ended with a full engine, which costs no work.
+    pub fulls: u32,
     /// Whether a backend server may have started the request.
     pub run: Run,
     /// What `run` was before the call under way began.
@@ -182,6 +186,7 @@
             hold: None,
             calling: None,
             attempt: 0,
+            fulls: 0,
             run: Run::NotRun,
             run_before_call: Run::NotRun,
             suspect: false,
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -44,6 +44,9 @@
 /// Time in which a plain service must answer.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time in which the news of a free slot travels from its engine over an instance to the keeper.
+const NEWS: Duration = Duration::from_millis(10);
+
 /// Time after which a leaving machine gets no new work.
 const LEFT_AFTER: Duration = Duration::from_secs(3);
 
@@ -383,11 +386,11 @@
         }
     }
 
-    /// Whether, at a time, engines that work as they should had two decode slots and a prefill slot
-    /// free.
+    /// Whether engines that work as they should had two decode slots and a prefill slot free at a
+    /// time, for long enough that the news of it had travelled.
     pub fn had_room(&self, at: Duration) -> bool {
         let seen = self.room.range(..=at).next_back();
-        seen.is_some_and(|(_, room)| *room)
+        seen.is_some_and(|(since, room)| *room && *since + NEWS <= at)
     }
 
     fn note_room(&mut self) {
