--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -154,11 +154,21 @@
     let opened = timeout(CONNECT, open(&address, &links)).await;
     let Ok(Ok(mut socket)) = opened else {
         log::debug!("no link to {to}");
+        let _ = links.events.try_send(Event::PeerLost(to));
         // Messages that come meanwhile are dropped with the link rather than sent late.
         sleep(REOPEN_AFTER).await;
         return;
     };
-    while let Ok(Some(msg)) = timeout(IDLE, messages.recv()).await {
+    loop {
+        // Nothing is ever read but the end: a process that dies resets its connections.
+        let msg = tokio::select! {
+            msg = timeout(IDLE, messages.recv()) => msg,
+            read = socket.next() => match read {
+                Some(Ok(_)) => continue,
+                Some(Err(_)) | None => break,
+            },
+        };
+        let Ok(Some(msg)) = msg else { break };
         let Some(bytes) = encode(&links.own, msg) else {
             continue;
         };
