Engines that are slower than their siblings for certain go last

Cause: a slow engine fills up and is then avoided by its fill alone, while each request on it misses the target between tokens. Taken from the paper: durations normalised by siblings, a bound on confidence instead of single slow tasks. Not taken: the log-logistic fit and the five levels, which need far more samples. Now each request tells its pace after 32 tokens.

--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -1,6 +1,6 @@
 //! The scheduler of one cell: exact counts, one fair queue; see `docs/design/placement.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use jacinthlever_types::{
@@ -80,6 +80,8 @@
     prefill_seconds: Option<f64>,
     /// Moving average of the tokens that a granted request costs.
     cost_tokens: Option<f64>,
+    /// Decode engines that are slower than their siblings for certain; they go last.
+    stragglers: BTreeSet<EngineId>,
     told: Vec<Told>,
     logged: Vec<LogEvent>,
 }
@@ -245,6 +247,14 @@
         self.pump(now);
     }
 
+    /// Takes in how long a decode took for its first tokens.
+    pub fn paced(&mut self, id: &RequestId, tokens: u64, took: Duration) {
+        let hold = self.by_id.get(id).and_then(|key| self.holds.get(*key));
+        if let Some(decode) = hold.map(|hold| hold.decode.clone()) {
+            self.measure_pace(&decode, took, tokens);
+        }
+    }
+
     /// Ends a hold.
     pub fn release(&mut self, id: &RequestId, end: HoldEnd, unused_tokens: u64, now: Duration) {
         let Some(key) = self.by_id.get(id).copied() else {
@@ -386,8 +396,10 @@
             let allowed = self.allowed(request, role, now);
             all.filter(move |e| e.role == role && allowed(e) && e.fits(pages, request.suspect, now))
         };
-        let decode =
-            fitting(EngineRole::Decode, pages).min_by(|a, b| a.fill().total_cmp(&b.fill()))?;
+        let decode = fitting(EngineRole::Decode, pages).min_by(|a, b| {
+            let slow = |engine: &EngineState| self.stragglers.contains(&engine.id);
+            slow(a).cmp(&slow(b)).then(a.fill().total_cmp(&b.fill()))
+        })?;
         let cost = |engine: &EngineState| {
             let transfer = if engine.zone == decode.zone {
                 Duration::ZERO
@@ -507,6 +519,28 @@
         }
     }
 
+    /// Takes in how long a decode took, and compares its engine with the others.
+    fn measure_pace(&mut self, id: &EngineId, took: Duration, tokens: u64) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        engine.pace.measure(took, tokens);
+        let others = self.engines.values().filter(|engine| engine.id != *id);
+        let mut means: Vec<f64> = others.filter_map(|engine| engine.pace.mean()).collect();
+        means.sort_by(f64::total_cmp);
+        let Some(median) = means.get(means.len() / 2).copied() else {
+            return;
+        };
+        let slow = self
+            .engines
+            .get(id)
+            .is_some_and(|engine| engine.pace.is_straggler(median));
+        match slow {
+            true => self.stragglers.insert(id.clone()),
+            false => self.stragglers.remove(id),
+        };
+    }
+
     fn fail(&mut self, id: &EngineId, fault: EngineFault, now: Duration) {
         let Some(engine) = self.engines.get_mut(id) else {
             return;
--- a/crates/core/src/engine_state.rs
+++ b/crates/core/src/engine_state.rs
@@ -6,6 +6,7 @@
 use jacinthlever_types::{EngineFault, EngineId, EngineLoad, EngineRole, ListState, ZoneId};
 use smol_str::SmolStr;
 
+use crate::Pace;
 use crate::cell::HoldKey;
 use crate::prefix_cache::PrefixCache;
 
@@ -48,6 +49,8 @@
     pub state: ListState,
     /// Prefixes that a prefill engine is believed to have cached.
     pub cache: PrefixCache,
+    /// How long a decode engine takes for a token.
+    pub pace: Pace,
     /// Prompt tokens a second of a prefill engine.
     pub prefill_rate: f64,
     /// Pages of the holds on it, by hold.
@@ -77,6 +80,7 @@
             zone,
             state: ListState::Live,
             cache: PrefixCache::default(),
+            pace: Pace::default(),
             prefill_rate: DEFAULT_PREFILL_RATE,
             held: BTreeMap::new(),
             recent: VecDeque::new(),
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -134,6 +134,9 @@
     },
 }
 
+/// Tokens of an answer after which its request counts as harmless to its engine.
+pub const HARMLESS_TOKENS: u32 = 32;
+
 /// Result of an operation on the platform's services.
 #[derive(Clone, Debug)]
 pub enum PlatformReply {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod limiter;
 mod log_event;
 mod members;
+mod pace;
 mod plugin;
 mod plugins;
 mod prefix_cache;
@@ -42,8 +43,8 @@
 pub use directory::Directory;
 pub use engine_state::EngineState;
 pub use event::{
-    CallFault, CallId, CallResult, CallerId, Event, Inbound, ListDelta, OpId, OperatorId,
-    OperatorRequest, PlainResponse, PlatformReply, RowChange, Target, Unsettled,
+    CallFault, CallId, CallResult, CallerId, Event, HARMLESS_TOKENS, Inbound, ListDelta, OpId,
+    OperatorId, OperatorRequest, PlainResponse, PlatformReply, RowChange, Target, Unsettled,
 };
 pub use fair_queue::{FairQueue, URGENT_LEAD_TOKENS};
 pub use keeper::Keeper;
@@ -52,6 +53,7 @@
 pub use limiter::Limiter;
 pub use log_event::{LogEvent, Severity, fault_text};
 pub use members::Members;
+pub use pace::Pace;
 pub use plugin::{Flow, Plugin, Stage, registered};
 pub use prefix_cache::PrefixCache;
 pub use request::{ReqKey, Request};
--- a/crates/core/src/plugins/model_call.rs
+++ b/crates/core/src/plugins/model_call.rs
@@ -9,7 +9,10 @@
 use crate::plugins::{finish, limit, queue};
 use crate::request::{CallKind, Calling, Kv};
 use crate::slots::SlotId;
-use crate::{Call, CallFault, CallResult, Core, Flow, LogEvent, Reply, ReqKey, Sample, Stage};
+use crate::{
+    Call, CallFault, CallResult, Core, Flow, HARMLESS_TOKENS, LogEvent, Reply, ReqKey, Sample,
+    Stage,
+};
 
 /// Engine allocations that one request may use up.
 const MAX_ATTEMPTS: u32 = 4;
@@ -73,7 +76,10 @@
             }
         }
         CallResult::FirstToken => first_token(core, key),
-        CallResult::Harmless => harmless(core, key),
+        CallResult::Harmless => {
+            harmless(core, key);
+            tell_pace(core, key);
+        }
         CallResult::Decoded { finish, position } => {
             if let Some(request) = core.requests.get_mut(key) {
                 request.position = position;
@@ -202,6 +208,27 @@
     }
 }
 
+/// Tells the keeper how fast the decode engine is, long before the answer ends.
+fn tell_pace(core: &mut Core, key: ReqKey) {
+    let now = core.now;
+    let Some(request) = core.requests.get(key) else {
+        return;
+    };
+    // After a retry the tokens come from several engines.
+    let Some(since) = request.first_token.filter(|_| request.attempt == 1) else {
+        return;
+    };
+    let Some(hold) = &request.hold else { return };
+    let msg = PeerMsg::Paced {
+        id: request.id.clone(),
+        cell: hold.cell.clone(),
+        tokens: HARMLESS_TOKENS - 1,
+        took_ms: now.saturating_sub(since).as_millis() as u32,
+    };
+    let keeper = hold.keeper.clone();
+    core.send(&keeper, msg);
+}
+
 fn failed(core: &mut Core, key: ReqKey, calling: Calling, fault: CallFault, position: u32) {
     let Some(request) = core.requests.get_mut(key) else {
         return;
--- a/crates/core/src/plugins/scheduling.rs
+++ b/crates/core/src/plugins/scheduling.rs
@@ -123,6 +123,15 @@
         PeerMsg::Decoding { id, cell } => {
             with_cell(core, &cell, |cell| cell.decoding(&id, now));
         }
+        PeerMsg::Paced {
+            id,
+            cell,
+            tokens,
+            took_ms,
+        } => {
+            let took = Duration::from_millis(u64::from(took_ms));
+            with_cell(core, &cell, |cell| cell.paced(&id, u64::from(tokens), took));
+        }
         PeerMsg::Release {
             id,
             cell,
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -7,7 +7,7 @@
 
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use jacinthlever_client::{DecodeStream, EngineClient, HttpError, ServiceClient, Timeouts};
-use jacinthlever_core::{Call, CallFault, CallId, CallResult, CallerId, Event};
+use jacinthlever_core::{Call, CallFault, CallId, CallResult, CallerId, Event, HARMLESS_TOKENS};
 use jacinthlever_types::{DecodeRequest, KvSource, PrefillRequest, ResumeRequest};
 use smol_str::SmolStr;
 
@@ -29,9 +29,6 @@
 /// Stack of a thread, in bytes.
 const STACK: usize = 256 * 1024;
 
-/// Position at which a request counts as harmless to its engine.
-const HARMLESS_AT: u32 = 32;
-
 /// A call with where it goes.
 #[derive(Debug)]
 struct Job {
@@ -297,7 +294,7 @@
             if std::mem::take(&mut is_first) {
                 self.progress(call, CallResult::FirstToken);
             }
-            if line.position + 1 == HARMLESS_AT {
+            if line.position + 1 == HARMLESS_TOKENS {
                 self.progress(call, CallResult::Harmless);
             }
         }
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use jacinthlever_core::{
-    Action, Call, CallFault, CallId, CallResult, CallerId, Core, CoreSettings, Event, ListDelta,
-    LogEvent, OpId, OperatorId, OperatorReply, OperatorRequest, PlainResponse, PlatformOp,
-    PlatformReply, Reply, Sample, Unsettled,
+    Action, Call, CallFault, CallId, CallResult, CallerId, Core, CoreSettings, Event,
+    HARMLESS_TOKENS, ListDelta, LogEvent, OpId, OperatorId, OperatorReply, OperatorRequest,
+    PlainResponse, PlatformOp, PlatformReply, Reply, Sample, Unsettled,
 };
 use jacinthlever_standins::TableState;
 use jacinthlever_types::{
@@ -53,9 +53,6 @@
 /// Time in which engine memory of an ended request must be free.
 const FREED_AFTER: Duration = Duration::from_secs(2);
 
-/// Position at which a shell reports a request as harmless.
-const HARMLESS_AT: u32 = 32;
-
 /// Position at which a poisonous request crashes its decode engine.
 const POISON_AT: u32 = 3;
 
@@ -1208,7 +1205,7 @@
             self.unused_prefill.remove(&stream.call.caller);
             self.answer(&stream.call, CallResult::FirstToken, after);
         }
-        if position == HARMLESS_AT {
+        if position == HARMLESS_TOKENS {
             self.answer(&stream.call, CallResult::Harmless, after);
         }
         if position >= stream.end || !connected {
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -364,6 +364,17 @@
         /// Cell of the hold.
         cell: CellId,
     },
+    /// The decode of a held request has given enough tokens to tell its pace.
+    Paced {
+        /// The caller's request.
+        id: RequestId,
+        /// Cell of the hold.
+        cell: CellId,
+        /// Tokens since the first.
+        tokens: u32,
+        /// Time for them, in milliseconds.
+        took_ms: u32,
+    },
     /// Asks an instance which of its holds at the sender it still has; it releases the others.
     HoldCheck {
         /// Cell of the holds.
