--- a/crates/core/src/plugins/configuration.rs
+++ b/crates/core/src/plugins/configuration.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::plugins::authenticate;
-use crate::table_health::HealthChange;
+use crate::table_health::{CUT_OFF_AFTER, HealthChange};
 use crate::{Core, LogEvent, PlatformOp, PlatformReply, Plugin};
 
 inventory::submit! {
@@ -31,9 +31,12 @@
 }
 
 fn tick(core: &mut Core) {
-    let hears_majority = core
-        .members
-        .hears_majority(&core.settings.instance, core.now);
+    // Counting the members is only worth while when the table is silent.
+    let silent = core.table.silence(core.now) >= CUT_OFF_AFTER;
+    let hears_majority = !silent
+        || core
+            .members
+            .hears_majority(&core.settings.instance, core.now);
     for change in core.table.judge(hears_majority, core.now) {
         log_health(core, change);
     }
--- a/crates/core/src/plugins/lease.rs
+++ b/crates/core/src/plugins/lease.rs
@@ -19,6 +19,9 @@
 /// Heirs that a lease names, in other availability zones where there are some.
 const HEIRS: usize = 2;
 
+/// Pause between two looks whether other heirs should be named.
+const CHECK_HEIRS_EVERY: Duration = Duration::from_millis(200);
+
 /// Longest term that a heir promises for, in milliseconds.
 const LONGEST_TERM_MS: u64 = 120_000;
 
@@ -36,10 +39,13 @@
     }
     if now >= core.schedule.renew && !core.schedule.renewing {
         renew(core);
-    } else if choose_heirs(core) != core.lease.heirs() {
+    } else if now >= core.schedule.check_heirs && choose_heirs(core) != core.lease.heirs() {
         // Without living heirs nobody could take over, or promise not to.
         core.schedule.renew = core.schedule.renew.min(now + RENEW_AGAIN);
     }
+    if now >= core.schedule.check_heirs {
+        core.schedule.check_heirs = now + CHECK_HEIRS_EVERY;
+    }
     // Promises are only needed when a renewal is late.
     let renew_every = current_term(core) / 3;
     let late = renew_every + renew_every / 3;
--- a/crates/core/src/plugins/membership.rs
+++ b/crates/core/src/plugins/membership.rs
@@ -12,6 +12,9 @@
     Plugin { tick: Some(tick), peer: Some(peer), ..Plugin::named("membership") }
 }
 
+/// Pause between two looks at which instances are active.
+const REFRESH_EVERY: Duration = Duration::from_millis(80);
+
 /// Time after which a drain ends although slots could not be handed over.
 const HAND_OVER: Duration = Duration::from_secs(15);
 
@@ -20,7 +23,10 @@
         core.schedule.beat = core.now + core.members.beat_every(core.settings.beat_every);
         beat(core);
     }
-    refresh(core);
+    if core.now >= core.schedule.refresh_members {
+        core.schedule.refresh_members = core.now + REFRESH_EVERY;
+        refresh(core);
+    }
     if core.draining && !core.stopped {
         drain(core);
     }
--- a/crates/core/src/plugins/operator.rs
+++ b/crates/core/src/plugins/operator.rs
@@ -38,6 +38,7 @@
         core.draining = true;
         // Peers should know before the next heartbeat is due.
         core.schedule.beat = core.now;
+        core.schedule.refresh_members = core.now;
         let instance = core.settings.instance.clone();
         core.log(LogEvent::DrainStarted { instance });
     }
--- a/crates/core/src/schedule.rs
+++ b/crates/core/src/schedule.rs
@@ -27,6 +27,10 @@
     pub ask_heirs: Duration,
     /// Whether the lease was valid at the last tick.
     pub was_valid: bool,
+    /// Next look at the heirs.
+    pub check_heirs: Duration,
+    /// Next look at which instances are active.
+    pub refresh_members: Duration,
     /// Next read of lease and slot rows.
     pub read_fleet: Duration,
     /// Whether that read is under way.
