--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -46,7 +46,7 @@
     CallFault, CallId, CallResult, CallerId, Event, HARMLESS_TOKENS, Inbound, ListDelta, OpId,
     OperatorId, OperatorRequest, PlainResponse, PlatformReply, RowChange, Target, Unsettled,
 };
-pub use fair_queue::{FairQueue, URGENT_LEAD_TOKENS};
+pub use fair_queue::{BANKED_TOKENS, FairQueue, URGENT_LEAD_TOKENS};
 pub use keeper::Keeper;
 pub use kernel::Core;
 pub use lease::{Lease, LeaseRecord, Renewed};
