--- a/crates/core/tests/slot_moves.rs
+++ b/crates/core/tests/slot_moves.rs
@@ -7,11 +7,29 @@
 };
 use jacinthlever_types::CustomerId;
 
-/// Customer whose slot is moved; its rate is 10,000 and its burst 100,000 tokens.
+/// Customer whose slot is moved.
 const CUSTOMER: &str = "hill";
 
+/// Its rate, in tokens a second: so low that what a window hands out twice shows.
+const RATE: f64 = 1_000.0;
+
+/// Its burst, in tokens.
+const BURST: f64 = 100_000.0;
+
+/// Time in which its empty bucket fills.
+const FILL: Duration = Duration::from_secs(101);
+
+/// Requests that together ask for more than the burst.
+const WHOLE: usize = 60;
+
 fn world(seed: u64) -> World {
-    let mut world = World::new(Deployment::cuenca(), RouterKind::Core, seed);
+    let mut deployment = Deployment::cuenca();
+    for customer in &mut deployment.customers {
+        if customer.name == CUSTOMER {
+            (customer.rate, customer.burst) = (RATE, BURST);
+        }
+    }
+    let mut world = World::new(deployment, RouterKind::Core, seed);
     assert!(world.settle());
     world
 }
@@ -29,9 +47,9 @@
         .collect()
 }
 
-/// Sends requests that together ask for the customer's whole burst, and more.
-fn burst(world: &mut World, node: usize, name: &str) {
-    for number in 0..60 {
+/// Sends requests of 2,010 tokens each.
+fn burst(world: &mut World, node: usize, count: usize, name: &str) {
+    for number in 0..count {
         let script = Script::model(&format!("key-of-{CUSTOMER}"), 2_000, 10, 10);
         world.arrive(node, script.content(format!("{name}-{number}")));
     }
@@ -54,23 +72,27 @@
         let second = holders(&world)[0];
         assert_ne!(first, second);
         // Its bucket is full again before the first holder comes back and the slot moves home.
-        world.run_for(Duration::from_secs(11));
+        world.run_for(FILL);
         world.restart(first);
         world.run_until(Duration::from_secs(4), |world| {
             world.nodes[first]
                 .core()
                 .is_some_and(|core| core.is_ready())
         });
-        world.run_for(Duration::from_millis(1_400));
         late_writes(&mut world, 100);
-        for round in 0..40 {
-            world.run_for(Duration::from_millis(100));
-            burst(&mut world, second, &format!("early-{round}"));
+        // Nobody has charged anything when the release is sent, so it hands over a full bucket.
+        let sent = world.run_until(Duration::from_secs(6), |world| holders(world).is_empty());
+        assert!(sent, "seed {seed}: nothing was released");
+        world.run_for(Duration::from_millis(900));
+        // A holder that gave the release up would charge until its next look, a few milliseconds on.
+        for round in 0..750 {
+            world.run_for(Duration::from_millis(4));
+            burst(&mut world, second, 6, &format!("early-{round}"));
         }
         late_writes(&mut world, 0);
         for round in 0..20 {
             world.run_for(Duration::from_millis(200));
-            burst(&mut world, second, &format!("late-{round}"));
+            burst(&mut world, second, WHOLE, &format!("late-{round}"));
         }
         world.run_for(Duration::from_secs(20));
         assert_eq!(
@@ -91,15 +113,15 @@
         // The holder is frozen until its heirs take over, by writes that are late.
         world.network.cut(&name, "table");
         world.pause(holder);
-        world.run_for(Duration::from_millis(2_900));
+        world.run_for(Duration::from_millis(500));
         late_writes(&mut world, 100);
-        world.run_for(Duration::from_millis(1_700));
+        world.run_for(Duration::from_millis(900));
         // It wakes without the table and can only go on if its heirs promise.
         world.resume(holder);
         for round in 0..60 {
             world.run_for(Duration::from_millis(100));
-            burst(&mut world, holder, &format!("old-{round}"));
-            burst(&mut world, (holder + 1) % 6, &format!("new-{round}"));
+            burst(&mut world, holder, WHOLE, &format!("old-{round}"));
+            burst(&mut world, (holder + 1) % 6, WHOLE, &format!("new-{round}"));
             assert!(
                 holders(&world).len() <= 1,
                 "seed {seed}: {:?}",
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -10,10 +10,11 @@
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded, select};
 use jacinthlever_client::ServiceCall;
 use jacinthlever_core::{Event, Inbound, Reply, Target};
-use jacinthlever_types::{Code, Fingerprint, KeyHash, RecordedOutcome, Verdict};
+use jacinthlever_types::{Code, Fingerprint, KeyHash, Verdict};
 use smol_str::SmolStr;
-use tiny_http::{Header, Method, Request, Response, Server};
+use tiny_http::{Method, Request, Server};
 
+use crate::answers::{answer_reply, answer_text, answer_verdict, lost, respond};
 use crate::completion::{Answers, Completion, Shape, Usage};
 use crate::gate::CONNECTION_HEADER;
 use crate::in_flight::{Pending, Registry};
@@ -291,10 +292,6 @@
     }
 }
 
-fn lost() -> Verdict {
-    Verdict::may_have_run(Code::BackendFailed, "the instance lost the request")
-}
-
 /// Writes a stream whose first token or end has come.
 fn write_stream(
     writer: &mut StreamWriter,
@@ -358,70 +355,6 @@
     }
 }
 
-fn answer_reply(request: Request, reply: Option<Reply>) {
-    match reply {
-        Some(Reply::Json(body)) => {
-            respond(
-                request,
-                200,
-                "application/json",
-                body.to_string().into_bytes(),
-            );
-        }
-        Some(Reply::Plain(response)) => {
-            let body = response.body.clone();
-            respond(request, response.status, &response.content_type, body);
-        }
-        Some(Reply::Recorded(outcome)) => answer_recorded(request, outcome),
-        Some(Reply::Refused(verdict)) => answer_verdict(request, &verdict),
-        Some(Reply::Finished { .. }) | None => answer_verdict(request, &lost()),
-    }
-}
-
-/// Repeats the recorded outcome of an earlier, equal call.
-fn answer_recorded(request: Request, outcome: RecordedOutcome) {
-    let body = outcome.body.unwrap_or_default().into_bytes();
-    let mut response = Response::from_data(body).with_status_code(outcome.status);
-    add_header(&mut response, "Content-Type", &outcome.content_type);
-    add_header(&mut response, "Idempotency-Replayed", "true");
-    send(request, response);
-}
-
-fn answer_verdict(request: Request, verdict: &Verdict) {
-    let body = verdict.to_json().to_string().into_bytes();
-    let mut response = Response::from_data(body).with_status_code(verdict.code.status());
-    add_header(&mut response, "Content-Type", "application/json");
-    if let Some(wait) = verdict.retry_after {
-        // The header counts whole seconds; a caller that comes back early is refused again.
-        let seconds = wait.as_millis().div_ceil(1_000);
-        add_header(&mut response, "Retry-After", &seconds.to_string());
-    }
-    send(request, response);
-}
-
-fn answer_text(request: Request, status: u16, text: &str) {
-    respond(request, status, "text/plain; charset=utf-8", text.into());
-}
-
-fn respond(request: Request, status: u16, content_type: &str, body: Vec<u8>) {
-    let mut response = Response::from_data(body).with_status_code(status);
-    add_header(&mut response, "Content-Type", content_type);
-    send(request, response);
-}
-
-fn add_header(response: &mut Response<io::Cursor<Vec<u8>>>, name: &str, value: &str) {
-    if let Ok(header) = Header::from_bytes(name, value) {
-        response.add_header(header);
-    }
-}
-
-fn send(request: Request, response: Response<io::Cursor<Vec<u8>>>) {
-    // A caller that has left is reported by the gate.
-    if let Err(error) = request.respond(response) {
-        log::debug!("an answer could not be written: {error}");
-    }
-}
-
 fn read_body(request: &mut Request) -> Result<Vec<u8>, Verdict> {
     let mut body = Vec::new();
     let read = request.as_reader().read_to_end(&mut body);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Daemon::spawn`] starts an instance from checked [`Settings`]; `docs/ARCHITECTURE.md` lists the
 //! threads and the rings between them.
 
+mod answers;
 mod backend;
 mod callers;
 mod clock;
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -15,6 +15,9 @@
 mod setup;
 mod worker;
 mod world;
+mod world_checks;
+mod world_engines;
+mod world_platform;
 
 pub use audit::{LimitAudit, Overrun};
 pub use engine::{EngineFaults, EngineSpec, FakeEngine};
