--- a/crates/core/src/kernel.rs
+++ b/crates/core/src/kernel.rs
@@ -13,6 +13,7 @@
 
 use crate::plugin::{Plugin, registered};
 use crate::plugins::{dispatch, finish, limit_holder, membership, operator};
+use crate::slots::SlotId;
 use crate::{
     Action, Call, CallId, CallerId, ClaimBook, ConfigState, CoreSettings, Directory, Event, Flow,
     Inbound, Keeper, Lease, Limiter, LogEvent, Members, OpId, PlatformOp, PlatformReply, Reply,
@@ -237,6 +238,13 @@
         }
     }
 
+    /// Sends a message to the holder of a customer's slot, if there is one.
+    pub(crate) fn send_to_holder(&mut self, customer: &CustomerId, msg: PeerMsg) {
+        if let Some(holder) = self.slots.holder(SlotId::of(customer)).cloned() {
+            self.send(&holder, msg);
+        }
+    }
+
     /// Starts a call to a backend server.
     pub(crate) fn call(&mut self, address: SmolStr, request: Call, owner: CallOwner) -> CallId {
         let call = CallId(self.number());
--- a/crates/core/src/plugins/claim.rs
+++ b/crates/core/src/plugins/claim.rs
@@ -124,18 +124,13 @@
     claim.busy = true;
     let (customer, name) = (claim.customer.clone(), claim.key.clone());
     if claim.ticketed {
-        let holder = core.slots.holder(SlotId::of(&customer)).cloned();
-        if let Some(holder) = holder {
-            core.send(
-                &holder,
-                PeerMsg::Claim {
-                    id,
-                    customer,
-                    key: name,
-                    fingerprint,
-                },
-            );
-        }
+        let msg = PeerMsg::Claim {
+            id,
+            customer: customer.clone(),
+            key: name,
+            fingerprint,
+        };
+        core.send_to_holder(&customer, msg);
         return;
     }
     let record = ClaimRecord {
@@ -275,9 +270,7 @@
             key: claim.key,
             outcome,
         };
-        if let Some(holder) = core.slots.holder(SlotId::of(&claim.customer)).cloned() {
-            core.send(&holder, msg);
-        }
+        core.send_to_holder(&claim.customer, msg);
         return;
     }
     update(
--- a/crates/core/src/plugins/limit.rs
+++ b/crates/core/src/plugins/limit.rs
@@ -7,7 +7,6 @@
 };
 
 use crate::request::Charge;
-use crate::slots::SlotId;
 use crate::{Core, Flow, LogEvent, Plugin, ReqKey, Stage, Target};
 
 inventory::submit! {
@@ -84,15 +83,14 @@
         return;
     };
     charge.ask_at = ask_at;
+    let customer = charge.customer.clone();
     let msg = PeerMsg::Charge {
         id: request.id.clone(),
         customer: charge.customer.clone(),
         tokens: charge.tokens,
         fingerprint: request.inbound.fingerprint,
     };
-    if let Some(holder) = core.slots.holder(SlotId::of(&charge.customer)).cloned() {
-        core.send(&holder, msg);
-    }
+    core.send_to_holder(&customer, msg);
 }
 
 fn peer(core: &mut Core, _from: &InstanceId, msg: PeerMsg) -> Option<PeerMsg> {
@@ -167,9 +165,7 @@
         customer: customer.clone(),
         fingerprint: request.inbound.fingerprint,
     };
-    if let Some(holder) = core.slots.holder(SlotId::of(&customer)).cloned() {
-        core.send(&holder, msg);
-    }
+    core.send_to_holder(&customer, msg);
     ask(core, key);
 }
 
@@ -226,7 +222,5 @@
         tokens,
         harmless,
     };
-    if let Some(holder) = core.slots.holder(SlotId::of(&charge.customer)).cloned() {
-        core.send(&holder, msg);
-    }
+    core.send_to_holder(&charge.customer, msg);
 }
--- a/crates/core/src/plugins/slot_moves.rs
+++ b/crates/core/src/plugins/slot_moves.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jacinthlever_types::{
-    Condition, InstanceId, PeerMsg, TableRow, Transaction, TransactionReply, Write,
+    Condition, Conflict, InstanceId, PeerMsg, TableRow, Transaction, TransactionReply, Write,
 };
 use smol_str::SmolStr;
 
@@ -196,18 +196,7 @@
         }
         TransactionReply::Conflicts(conflicts) => {
             // The conflict may be the own write whose reply was lost, so the rows decide.
-            for conflict in conflicts {
-                let (key, version, value) = (conflict.key, conflict.version, conflict.value);
-                see(
-                    core,
-                    &TableRow {
-                        key,
-                        version,
-                        value,
-                    },
-                );
-            }
-            core.schedule.read_fleet = core.now;
+            see_conflicts(core, conflicts);
             let slots: Vec<SlotId> = core.schedule.taking.keys().copied().collect();
             for slot in slots {
                 if !is_own(core, slot) {
@@ -247,6 +236,22 @@
         .take(slot, taking.before, taking.unclean, core.now);
 }
 
+/// Takes in the rows that made a transaction conflict.
+fn see_conflicts(core: &mut Core, conflicts: Vec<Conflict>) {
+    for conflict in conflicts {
+        let (key, version, value) = (conflict.key, conflict.version, conflict.value);
+        see(
+            core,
+            &TableRow {
+                key,
+                version,
+                value,
+            },
+        );
+    }
+    core.schedule.read_fleet = core.now;
+}
+
 /// Releases slots that another instance should hold.
 fn release(core: &mut Core) {
     let now = core.now;
@@ -303,17 +308,7 @@
             tell_peers(core, rows);
         }
         TransactionReply::Conflicts(conflicts) => {
-            for conflict in conflicts {
-                let (key, version, value) = (conflict.key, conflict.version, conflict.value);
-                see(
-                    core,
-                    &TableRow {
-                        key,
-                        version,
-                        value,
-                    },
-                );
-            }
+            see_conflicts(core, conflicts);
             // No copy of the release can take effect any more; what is still held is held on.
             let still: Vec<SlotId> = core.limiter.slots().collect();
             still
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -170,18 +170,16 @@
         let connection = connection(&request);
         let pending = self.registry.add(connection, String::new(), None);
         let fingerprint = Fingerprint::default();
-        match self.submit(
+        self.exchange(
+            request,
+            connection,
             &pending,
             Inbound {
                 key,
                 target,
                 fingerprint,
             },
-        ) {
-            Err(verdict) => answer_verdict(request, &verdict),
-            Ok(()) => answer_reply(request, pending.reply.recv_timeout(LONGEST).ok()),
-        }
-        self.registry.remove(connection, pending.caller);
+        );
     }
 
     fn plain(&self, mut request: Request) {
@@ -209,14 +207,21 @@
         };
         let connection = connection(&request);
         let pending = self.registry.add(connection, String::new(), Some(call));
-        match self.submit(
+        self.exchange(
+            request,
+            connection,
             &pending,
             Inbound {
                 key,
                 target,
                 fingerprint,
             },
-        ) {
+        );
+    }
+
+    /// Hands a request to the core and answers with its one reply.
+    fn exchange(&self, request: Request, connection: u64, pending: &Pending, inbound: Inbound) {
+        match self.submit(pending, inbound) {
             Err(verdict) => answer_verdict(request, &verdict),
             Ok(()) => answer_reply(request, pending.reply.recv_timeout(LONGEST).ok()),
         }
