--- a/crates/core/benches/policy/cases.rs
+++ b/crates/core/benches/policy/cases.rs
@@ -4,7 +4,7 @@
 
 use jacinthlever_fakes::{Deployment, EngineFaults, RouterKind, World};
 
-use crate::workload::{Workload, capacity};
+use crate::workload::{Span, Workload, capacity};
 
 /// Time for the fleet to reach its pace.
 const WARM: Duration = Duration::from_secs(8);
@@ -156,10 +156,10 @@
         };
         let all: Vec<usize> = (0..world.nodes.len()).collect();
         let from = world.now + WARM;
-        workload.send(&mut world, from - WARM, from, &all);
+        workload.send(&mut world, Span::Warm, from - WARM, from, &all);
         world.run_for(WARM);
         let nodes = self.begin_fault(&mut world);
-        workload.send(&mut world, from, from + MEASURED, &nodes);
+        workload.send(&mut world, Span::Measured, from, from + MEASURED, &nodes);
         world.run_for(MEASURED + REST);
         Played {
             world,
--- a/crates/core/benches/policy/workload.rs
+++ b/crates/core/benches/policy/workload.rs
@@ -57,6 +57,15 @@
     pub seed: u64,
 }
 
+/// Part of a case that requests are sent in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Span {
+    /// Before the fault.
+    Warm,
+    /// While the figures are taken.
+    Measured,
+}
+
 /// Means of the drawn requests, in tokens.
 #[derive(Clone, Copy, Debug)]
 pub struct Means {
@@ -95,11 +104,13 @@
     pub fn send(
         &self,
         world: &mut World,
+        span: Span,
         from: Duration,
         to: Duration,
         nodes: &[usize],
     ) -> Vec<CallerId> {
-        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ from.as_millis() as u64);
+        // The load of a span depends on the seed alone, so both routers meet the same one.
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed * 2 + u64::from(span == Span::Measured));
         let deployment = world.deployment().clone();
         let mean = capacity(&deployment, deployment.prefills, deployment.decodes) * self.load;
         let mut callers = Vec::new();
@@ -115,7 +126,7 @@
             let script = model(&mut rng, &key, customer, callers.len());
             callers.push(world.arrive_at(when, node, script));
             if rng.random::<f64>() < PLAIN_PART {
-                let content = format!("plain-{at}");
+                let content = format!("plain-{span:?}-{}", callers.len());
                 let script = plain(&mut rng, &key, &content);
                 world.arrive_at(when, node, script.content(&content));
             }
--- a/crates/core/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -20,7 +20,7 @@
 pub const PAGE_TOKENS: u64 = 4_096;
 
 /// Time from the end of a prefill to the first token, until it was measured.
-const DEFAULT_HANDOVER: Duration = Duration::from_millis(60);
+const DEFAULT_HANDOVER: Duration = Duration::from_millis(100);
 
 /// Time that a decode holds its slot, until it was measured.
 const DEFAULT_DECODE: Duration = Duration::from_secs(5);
@@ -468,7 +468,9 @@
             .iter()
             .filter(|(_, hold)| hold.phase == Phase::Queued);
         let late: Vec<HoldKey> = waiting
-            .filter(|(_, hold)| now + self.least_prefill_time(&hold.request) > hold.due)
+            .filter(|(_, hold)| {
+                now + self.least_prefill_time(&hold.request) + DEFAULT_HANDOVER > hold.due
+            })
             .map(|(key, _)| key)
             .collect();
         for key in late {
--- a/crates/fakes/src/world.rs
+++ b/crates/fakes/src/world.rs
@@ -224,12 +224,17 @@
 
     /// Runs until the fleet holds all slots and has its configuration.
     pub fn settle(&mut self) -> bool {
+        if self.kind == RouterKind::Naive {
+            // It has nothing to agree on; it only reads the list.
+            self.run_for(LIST_EVERY * 2);
+            return true;
+        }
         let slots = jacinthlever_core::SLOT_COUNT as usize;
         self.run_until(Duration::from_secs(60), |world| {
             let cores: Vec<&Core> = world.nodes.iter().filter_map(Node::core).collect();
             cores.iter().all(|core| core.is_ready())
                 && cores.iter().map(|core| core.held_slots()).sum::<usize>() == slots
-        }) || self.kind == RouterKind::Naive
+        })
     }
 
     /// Kills a node's process.
