Tests of the model list, addresses, readiness and chats over real sockets

Cause: GET /v1/models, the readiness paths and streamed chats with token counts had only been tried by hand.

--- a/crates/daemon/tests/fleet.rs
+++ b/crates/daemon/tests/fleet.rs
@@ -403,3 +403,108 @@
     }
     assert_eq!(fleet.status(0)["ready"], json!(true));
 }
+
+/// Gets a path as a caller with a key would; returns status and body.
+fn get(fleet: &Fleet, number: u16, path: &str, key: &str) -> (u16, serde_json::Value) {
+    use std::io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect(fleet.caller_address(number)).expect("connected");
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer {key}\r\n\
+         Connection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).expect("sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer");
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    (
+        status.expect("a status"),
+        serde_json::from_str(body).unwrap_or_default(),
+    )
+}
+
+#[test]
+fn callers_learn_of_models_addresses_and_readiness() {
+    let fleet = fleet(2, 1, 1);
+    let (status, models) = get(&fleet, 0, "/v1/models", &NORTH.key());
+    assert_eq!((status, &models["data"][0]["id"]), (200, &json!("quill")));
+    let (status, refusal) = get(&fleet, 0, "/v1/models", "never-granted");
+    assert_eq!(
+        (status, &refusal["error"]["code"]),
+        (401, &json!("key_unknown"))
+    );
+    let (status, answer) = get(&fleet, 1, "/v1/where", &NORTH.key());
+    assert_eq!(status, 200);
+    let addresses = answer["addresses"].as_array().expect("addresses");
+    for number in 0..2 {
+        assert!(
+            addresses.contains(&json!(fleet.caller_address(number))),
+            "{answer}"
+        );
+    }
+    assert!(answer["keep_ms"].as_u64().is_some_and(|keep| keep > 0));
+    assert!(
+        answer["ticket"]
+            .as_str()
+            .is_some_and(|ticket| ticket.starts_with("t1-"))
+    );
+    for path in ["/healthz", "/readyz"] {
+        assert_eq!(get(&fleet, 0, path, "").0, 200, "{path}");
+    }
+}
+
+#[test]
+fn a_chat_is_answered_whole_and_streamed_alike() {
+    use std::io::{Read, Write};
+    let fleet = fleet(1, 1, 1);
+    let prompt = "user: Which crew is free?\n";
+    let expected = expected_answer(prompt, 9);
+    for stream in [false, true] {
+        let body = json!({
+            "model": "quill", "max_tokens": 9, "stream": stream,
+            "stream_options": {"include_usage": true},
+            "messages": [{"role": "user", "content": "Which crew is free?"}],
+        })
+        .to_string();
+        let mut socket = std::net::TcpStream::connect(fleet.caller_address(0)).expect("connected");
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer {}\r\n\
+             Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            NORTH.key(),
+            body.len()
+        );
+        socket.write_all(request.as_bytes()).expect("sent");
+        let mut text = String::new();
+        socket.read_to_string(&mut text).expect("an answer");
+        let values: Vec<serde_json::Value> = match stream {
+            true => text
+                .lines()
+                .filter_map(|line| line.strip_prefix("data: "))
+                .filter_map(|data| serde_json::from_str(data).ok())
+                .collect(),
+            false => {
+                let (_, body) = text.split_once("\r\n\r\n").expect("a body");
+                vec![serde_json::from_str(body).expect("JSON")]
+            }
+        };
+        let part = |value: &serde_json::Value| {
+            let choice = &value["choices"][0];
+            let content = if stream {
+                &choice["delta"]
+            } else {
+                &choice["message"]
+            };
+            content["content"].as_str().unwrap_or_default().to_owned()
+        };
+        let answer: String = values.iter().map(part).collect();
+        assert_eq!(answer, expected, "stream: {stream}");
+        let usage = values
+            .iter()
+            .find_map(|value| value["usage"]["completion_tokens"].as_u64());
+        assert_eq!(usage, Some(9), "stream: {stream}: {text}");
+        assert_eq!(stream, text.contains("data: [DONE]"));
+    }
+}
