--- a/crates/core/src/limiter.rs
+++ b/crates/core/src/limiter.rs
@@ -66,11 +66,6 @@
         self.held.get(&slot).is_some_and(|held| !held.releasing)
     }
 
-    /// Whether a release of the slot is under way.
-    pub fn is_releasing(&self, slot: SlotId) -> bool {
-        self.held.get(&slot).is_some_and(|held| held.releasing)
-    }
-
     /// Returns the held slots, also those being released.
     pub fn slots(&self) -> impl Iterator<Item = SlotId> {
         self.held.keys().copied()
--- a/crates/fakes/src/world_platform.rs
+++ b/crates/fakes/src/world_platform.rs
@@ -153,14 +153,7 @@
             {
                 self.schedule(self.now + there, Happening::ApplyLate(transaction));
             }
-            return self.deliver(
-                gives_up,
-                node,
-                Event::Platform {
-                    op,
-                    result: Err(Unsettled),
-                },
-            );
+            return self.leave_unsettled(gives_up, node, op);
         }
         let is_write = matches!(request, PlatformOp::Transact(_));
         let roll = self.rng.next_u64() % 100;
@@ -169,27 +162,13 @@
                 let at = self.now + TableFaults::LATE;
                 self.schedule(at, Happening::ApplyLate(transaction));
             }
-            return self.deliver(
-                gives_up,
-                node,
-                Event::Platform {
-                    op,
-                    result: Err(Unsettled),
-                },
-            );
+            return self.leave_unsettled(gives_up, node, op);
         }
         let reply = self.apply(request);
         if is_write
             && roll < self.table_faults.late_writes_percent + self.table_faults.lost_replies_percent
         {
-            return self.deliver(
-                gives_up,
-                node,
-                Event::Platform {
-                    op,
-                    result: Err(Unsettled),
-                },
-            );
+            return self.leave_unsettled(gives_up, node, op);
         }
         self.deliver(
             back,
@@ -201,6 +180,12 @@
         );
     }
 
+    /// Lets an instance find that an operation was not answered in time.
+    fn leave_unsettled(&mut self, at: Duration, node: usize, op: OpId) {
+        let result = Err(Unsettled);
+        self.deliver(at, node, Event::Platform { op, result });
+    }
+
     pub(crate) fn apply(&mut self, request: PlatformOp) -> PlatformReply {
         match request {
             PlatformOp::Transact(transaction) => {
