--- /dev/null
+++ b/crates/gateway/src/callers.rs
@@ -0,0 +1,469 @@
+//! Accepts callers, decides whether a request may go on, and sees to its answer.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderMap};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use jacinthlever_routing::{
+    CallerLimits, Customer, FleetConfig, QuotaDecision, Route, RouteKind,
+};
+use smol_str::SmolStr;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::answer::{AnswerBody, Verdict};
+use crate::caller_request::{CallerRequest, fingerprint, remove_connection_headers};
+use crate::connection::{Expiry, Watch, Watched};
+use crate::node::Node;
+use crate::{CallerHeaders, EventCode, generation, plain};
+
+/// Descriptors kept for files, listeners, and connections to peers and the store.
+const KEPT_DESCRIPTORS: usize = 240;
+
+/// Part of the other descriptors that callers may use; the rest serves backend servers.
+const CALLERS_PART: f64 = 0.6;
+
+/// Pause after the system refused to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time from SIGTERM until a connection of a caller is closed after its answer.
+const RETRY_UNPROVED: Duration = Duration::from_millis(800);
+
+/// Time after which a caller may come back if this instance knows no configuration.
+const RETRY_UNCONFIGURED: Duration = Duration::from_millis(700);
+
+/// Listens for callers.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn serve(node: Rc<Node>) -> io::Result<()> {
+    let listener = TcpListener::bind(node.settings().listen.callers).await?;
+    let others = node.settings().max_descriptors - KEPT_DESCRIPTORS;
+    let most = (others as f64 * CALLERS_PART) as usize;
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) if open.get() < most => stream,
+            // More connections would starve those that are being served.
+            Ok(_) => continue,
+            Err(error) => {
+                log::debug!("a connection was not accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        open.set(open.get() + 1);
+        let (node, open) = (node.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            serve_connection(node, stream).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// Listens for short questions that are answered at once.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub async fn serve_questions(
+    node: Rc<Node>,
+    address: SocketAddr,
+    answer: fn(&Node, &Request<Incoming>) -> Response<AnswerBody>,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |req: Request<Incoming>| {
+                let answered = answer(&node, &req);
+                async move { Ok::<_, Infallible>(answered) }
+            });
+            let watch = Watch::start();
+            let io = TokioIo::new(Watched::new(stream, watch.clone()));
+            let connection = http1::Builder::new().serve_connection(io, service);
+            let limits = CallerLimits::default();
+            tokio::select! {
+                served = connection => log::trace!("served: {}", served.is_ok()),
+                _ = watch.expired(limits) => {}
+            }
+        });
+    }
+}
+
+async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("no delay: {error}");
+    }
+    let watch = Watch::start();
+    let limits = limits(&node);
+    let io = TokioIo::new(Watched::new(stream, watch.clone()));
+    let service = {
+        let (node, watch) = (node.clone(), watch.clone());
+        service_fn(move |req| {
+            watch.begin();
+            let (node, watch) = (node.clone(), watch.clone());
+            async move {
+                let response = respond(&node, req).await;
+                Ok::<_, Infallible>(response.map(|body| body.on_end(move || watch.end())))
+            }
+        })
+    };
+    let connection = http1::Builder::new()
+        .max_buf_size(limits.header_bytes.max(8192))
+        .serve_connection(io, service);
+    let mut connection = std::pin::pin!(connection);
+    let mut is_draining = node.state.borrow().is_draining;
+    if is_draining {
+        connection.as_mut().graceful_shutdown();
+    }
+    loop {
+        tokio::select! {
+            served = connection.as_mut() => {
+                if let Err(error) = served {
+                    log::debug!("a caller's connection ended: {error}");
+                }
+                return;
+            }
+            () = node.drain.notified(), if !is_draining => {
+                is_draining = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            expiry = watch.expired(limits) => match expiry {
+                Expiry::SlowHead => return,
+                Expiry::Idle => {
+                    connection.as_mut().graceful_shutdown();
+                    let served = connection.as_mut().await;
+                    log::trace!("idle connection closed: {}", served.is_ok());
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn limits(node: &Node) -> CallerLimits {
+    let state = node.state.borrow();
+    state
+        .config
+        .as_ref()
+        .map_or_else(CallerLimits::default, |c| c.limits)
+}
+
+/// Counts a request as long as it is not answered in full, and logs a caller that left.
+struct Open {
+    node: Rc<Node>,
+    request_id: SmolStr,
+    is_answered: Cell<bool>,
+}
+
+impl Open {
+    fn begin(node: &Rc<Node>, request_id: SmolStr) -> Self {
+        node.in_flight.set(node.in_flight.get() + 1);
+        Self {
+            node: node.clone(),
+            request_id,
+            is_answered: Cell::new(false),
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.node.in_flight.set(self.node.in_flight.get() - 1);
+        if !self.is_answered.get() {
+            let fields = [("request", self.request_id.as_str().into())];
+            self.node.note(EventCode::CallerLeft, fields);
+        }
+    }
+}
+
+async fn respond(node: &Rc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = node.now();
+    let headers = match (node.adapter.callers.read)(req.headers()) {
+        Ok(headers) => headers,
+        Err(error) => {
+            let fields = [("cause", error.to_string().into())];
+            node.note(EventCode::Refused, fields);
+            return Verdict::reject(StatusCode::BAD_REQUEST, "malformed header").response();
+        }
+    };
+    let request_id = headers.request_id.clone();
+    let open = Open::begin(node, request_id.clone());
+    let result = accept_and_answer(node, req, headers, arrived).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(verdict) => {
+            let mut response = verdict.response();
+            (node.adapter.callers.mark)(response.headers_mut(), &request_id);
+            response
+        }
+    };
+    if node.state.borrow().is_draining {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    open.is_answered.set(true);
+    response.map(|body| body.on_end(move || drop(open)))
+}
+
+async fn accept_and_answer(
+    node: &Rc<Node>,
+    req: Request<Incoming>,
+    headers: CallerHeaders,
+    arrived: Duration,
+) -> Result<Response<AnswerBody>, Verdict> {
+    let request_id = headers.request_id.clone();
+    let result = match accept(node, req, headers, arrived).await {
+        Ok(req) => answer(node, Rc::new(req)).await,
+        Err(verdict) => Err(verdict),
+    };
+    match &result {
+        Ok(_) => {}
+        Err(verdict) => note_verdict(node, &request_id, arrived, verdict),
+    }
+    result
+}
+
+fn note_verdict(node: &Node, request_id: &SmolStr, arrived: Duration, verdict: &Verdict) {
+    let now = node.now();
+    let code = match verdict {
+        Verdict::NotRun { .. } => EventCode::Refused,
+        Verdict::MayHaveRun { .. } => EventCode::Failed,
+    };
+    let proof_age = node.state.borrow().proof_age(now);
+    let fields = [
+        ("request", request_id.as_str().into()),
+        ("status", verdict.status().as_u16().into()),
+        ("cause", verdict.reason().into()),
+        (
+            "after_ms",
+            (now.saturating_sub(arrived).as_millis() as u64).into(),
+        ),
+        (
+            "config_age_ms",
+            proof_age.map(|age| age.as_millis() as u64).into(),
+        ),
+    ];
+    node.note(code, fields);
+    node.metrics.answered("", "", verdict.reason());
+}
+
+/// Whose request it is and where it leads.
+struct Admission {
+    config: Rc<FleetConfig>,
+    route: Route,
+    customer: Option<Customer>,
+    service: SmolStr,
+}
+
+async fn accept(
+    node: &Rc<Node>,
+    req: Request<Incoming>,
+    headers: CallerHeaders,
+    arrived: Duration,
+) -> Result<CallerRequest, Verdict> {
+    let admission = admit(node, &req, &headers)?;
+    let patience = headers.patience.unwrap_or(admission.route.timeout);
+    let give_up = arrived + patience.min(admission.route.timeout);
+    let (parts, body) = req.into_parts();
+    let body = read_body(body, admission.config.limits, give_up.saturating_sub(arrived)).await?;
+    let now = node.now();
+    let fingerprint = fingerprint(headers.key.as_deref(), &parts.method, &parts.uri, &body);
+    if node.state.borrow().poison.is_poison(now, fingerprint) {
+        let reason = "request crashed the servers that ran it";
+        return Err(Verdict::reject(StatusCode::SERVICE_UNAVAILABLE, reason));
+    }
+    charge(node, &admission, &headers)?;
+    let settings = node.settings();
+    let mut state = node.state.borrow_mut();
+    state.budget(&settings, &admission.service).request(now);
+    let customer = admission.customer;
+    Ok(CallerRequest {
+        method: parts.method,
+        uri: parts.uri,
+        forwarded: forwarded(parts.headers),
+        headers,
+        body,
+        priority: customer
+            .as_ref()
+            .and_then(|c| c.priority)
+            .unwrap_or(admission.route.priority),
+        route: admission.route,
+        service: admission.service,
+        config: admission.config,
+        customer: customer.map(|c| c.name),
+        arrived,
+        give_up,
+        fingerprint,
+        may_have_run: Cell::new(false),
+    })
+}
+
+fn forwarded(mut headers: HeaderMap) -> HeaderMap {
+    remove_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    headers
+}
+
+fn admit(
+    node: &Node,
+    req: &Request<Incoming>,
+    headers: &CallerHeaders,
+) -> Result<Admission, Verdict> {
+    let now = node.now();
+    let state = node.state.borrow();
+    let Some(config) = state.config.clone() else {
+        return Err(Verdict::unavailable("no configuration", RETRY_UNCONFIGURED));
+    };
+    let is_certain = state.is_certain(now);
+    let keys_are_proved = state.keys_are_proved(now, &node.settings());
+    drop(state);
+    let unknown = |status, reason| match is_certain {
+        true => Verdict::reject(status, reason),
+        false => Verdict::unavailable("configuration may be old", RETRY_UNPROVED),
+    };
+    let host = host_of(req);
+    let Some(route) = config.route(host, req.uri().path()).cloned() else {
+        return Err(unknown(StatusCode::NOT_FOUND, "no such route"));
+    };
+    let customer = if route.is_public || !config.needs_keys {
+        None
+    } else {
+        let key = headers.key.as_deref();
+        let Some(customer) = key.and_then(|key| config.customer_of(key)).cloned() else {
+            return Err(unknown(StatusCode::UNAUTHORIZED, "unknown key"));
+        };
+        if !keys_are_proved {
+            return Err(Verdict::unavailable("key is not proved", RETRY_UNPROVED));
+        }
+        Some(customer)
+    };
+    let Some(service) = route.destination(node.draw()).cloned() else {
+        return Err(Verdict::unavailable("route has no service", RETRY_UNPROVED));
+    };
+    Ok(Admission {
+        config,
+        route,
+        customer,
+        service,
+    })
+}
+
+fn host_of(req: &Request<Incoming>) -> &str {
+    let host = req.headers().get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = host.or_else(|| req.uri().host()).unwrap_or("");
+    host.split(':').next().unwrap_or(host)
+}
+
+async fn read_body(
+    body: Incoming,
+    limits: CallerLimits,
+    within: Duration,
+) -> Result<Bytes, Verdict> {
+    let read = timeout(within, Limited::new(body, limits.body_bytes).collect()).await;
+    match read {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Verdict::reject(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body is too long",
+        )),
+        Ok(Err(_)) => Err(Verdict::reject(
+            StatusCode::BAD_REQUEST,
+            "body cannot be read",
+        )),
+        Err(_) => Err(Verdict::reject(
+            StatusCode::REQUEST_TIMEOUT,
+            "body took too long",
+        )),
+    }
+}
+
+fn charge(node: &Node, admission: &Admission, headers: &CallerHeaders) -> Result<(), Verdict> {
+    let Some(customer) = &admission.customer else {
+        return Ok(());
+    };
+    let Some(quota) = customer.quota else {
+        return Ok(());
+    };
+    let tokens = headers
+        .generation
+        .map_or(quota.plain_tokens, |g| g.prompt_tokens + g.max_output);
+    let mut state = node.state.borrow_mut();
+    match state.quotas.charge(node.now(), &customer.name, tokens) {
+        QuotaDecision::Charged => Ok(()),
+        QuotaDecision::Over { retry_after } => Err(Verdict::NotRun {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            reason: "customer is over its limit",
+            retry_after: Some(retry_after),
+        }),
+    }
+}
+
+async fn answer(node: &Rc<Node>, req: Rc<CallerRequest>) -> Result<Response<AnswerBody>, Verdict> {
+    let left = req.time_left(node.now());
+    let answered = timeout(left, forward(node.clone(), req.clone())).await;
+    let result = answered.unwrap_or_else(|_| {
+        Err(match req.may_have_run.get() {
+            true => Verdict::timed_out(),
+            false => Verdict::unavailable("no server had room in time", RETRY_UNPROVED),
+        })
+    });
+    if let Ok(response) = &result {
+        note_answer(node, &req, response.status());
+    }
+    result
+}
+
+fn forward(
+    node: Rc<Node>,
+    req: Rc<CallerRequest>,
+) -> impl Future<Output = Result<Response<AnswerBody>, Verdict>> {
+    let engine = req.config.services.get(&req.service);
+    let engine = engine.and_then(|s| s.engine.clone());
+    async move {
+        match engine {
+            Some(spec) if req.route.kind == RouteKind::Stream => {
+                generation::answer(node, req, spec).await
+            }
+            _ => plain::answer(node, req).await,
+        }
+    }
+}
+
+fn note_answer(node: &Node, req: &CallerRequest, status: StatusCode) {
+    let took = node.now().saturating_sub(req.arrived);
+    if req.route.kind != RouteKind::Stream {
+        node.metrics
+            .latency(req.customer_name(), &req.route.name, took);
+    }
+    node.metrics
+        .answered(req.customer_name(), &req.route.name, "answered");
+    node.note(
+        EventCode::Answered,
+        [
+            ("request", req.headers.request_id.as_str().into()),
+            ("route", req.route.name.as_str().into()),
+            ("customer", req.customer_name().into()),
+            ("status", status.as_u16().into()),
+            ("took_ms", (took.as_millis() as u64).into()),
+            ("config", req.config.version.into()),
+        ],
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/drain.rs
@@ -0,0 +1,89 @@
+//! Stops the process without cutting an answer off.
+
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{Instant, sleep};
+
+use crate::node::Node;
+use crate::{EventCode, Settings};
+
+/// Least time from SIGTERM to the end: callers still come until they ask for addresses again.
+const LINGER: Duration = Duration::from_millis(2600);
+
+/// Time before the kill at which the process ends in any case.
+const END_BEFORE_KILL: Duration = Duration::from_millis(400);
+
+/// Pause between two looks at what is still under way.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Pause between two looks at the settings file, which may change without a signal.
+const RELOAD_EVERY: Duration = Duration::from_secs(1);
+
+/// Waits for SIGTERM, then until all answers are handed over.
+///
+/// # Errors
+/// Fails if the signal cannot be waited for.
+pub async fn on_terminate(node: Rc<Node>) -> io::Result<()> {
+    signal(SignalKind::terminate())?.recv().await;
+    let began = Instant::now();
+    node.state.borrow_mut().is_draining = true;
+    node.drain.notify_waiters();
+    let in_flight = node.in_flight.get();
+    node.note(EventCode::Stopping, [("in_flight", in_flight.into())]);
+    let most = node.settings().bounds.grace().saturating_sub(END_BEFORE_KILL);
+    loop {
+        sleep(LOOK).await;
+        let elapsed = began.elapsed();
+        let is_done = node.in_flight.get() == 0 && elapsed >= LINGER;
+        if is_done || elapsed >= most {
+            break;
+        }
+    }
+    let in_flight = node.in_flight.get();
+    node.note(EventCode::Stopped, [("in_flight", in_flight.into())]);
+    Ok(())
+}
+
+/// Reads the settings again on SIGHUP and when the file changes.
+///
+/// # Errors
+/// Fails if the signal cannot be waited for.
+pub async fn on_reload(node: Rc<Node>, path: PathBuf) -> io::Result<()> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    let mut changed = modified(&path);
+    loop {
+        tokio::select! {
+            _ = hangups.recv() => {}
+            () = sleep(RELOAD_EVERY) => {
+                let now = modified(&path);
+                if now == changed {
+                    continue;
+                }
+                changed = now;
+            }
+        }
+        reload(&node, &path);
+    }
+}
+
+fn modified(path: &PathBuf) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+fn reload(node: &Node, path: &PathBuf) {
+    match Settings::open(path) {
+        Ok(settings) => {
+            let is_new = settings != *node.settings();
+            *node.settings.borrow_mut() = Rc::new(settings);
+            node.note(EventCode::Reloaded, [("changed", is_new.into())]);
+        }
+        Err(error) => {
+            let fields = [("cause", error.to_string().into())];
+            node.note(EventCode::ReloadFailed, fields);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/generation.rs
@@ -0,0 +1,408 @@
+//! Requests to models: memory first, then the prompt, then the answer.
+//!
+//! Memory of decode engines is the scarcest thing, so it is reserved before a prompt is read; see
+//! `docs/design/platform.md`.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use jacinthlever_routing::{EngineSpec, Outcome, RoomPolicy, RoomWait, ServerKey};
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use crate::answer::{AnswerBody, Verdict};
+use crate::caller_request::CallerRequest;
+use crate::exchange::{Exchange, MOST_WHOLE, SendFault, WITHDRAWN, note_fault};
+use crate::node::Node;
+use crate::stream::Pump;
+use crate::{KvLocation, ServerHeaders};
+
+/// Pause between two rounds of asking engines for room.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
+
+/// Engines that are asked for room in one round.
+const ASKED_AT_ONCE: usize = 3;
+
+/// Longest time for a prefill, beyond which another engine is asked.
+const PREFILL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Prefills of one request that are tried.
+const MOST_PREFILLS: usize = 3;
+
+/// Rounds of reserving, reading and decoding for one attempt of a caller.
+const MOST_ROUNDS: u32 = 3;
+
+/// Part by which the caller's estimate of the output is raised for the reservation.
+const ESTIMATE_MARGIN: f64 = 1.5;
+
+/// A generation on its way to its first event.
+pub struct Generation {
+    node: Rc<Node>,
+    req: Rc<CallerRequest>,
+    spec: EngineSpec,
+    /// Servers that failed this request.
+    avoid: Vec<ServerKey>,
+    /// Servers that may have run it.
+    ran: u32,
+    /// Sends so far, for the budget.
+    sends: u32,
+}
+
+/// A running decode.
+pub struct Decode {
+    /// The stream.
+    pub exchange: Exchange,
+    /// Memory that is reserved for it.
+    pub room: Room,
+}
+
+/// Forwards a generation and returns the head of its answer.
+///
+/// # Errors
+/// Fails with a verdict that says whether the request may have run.
+pub async fn answer(
+    node: Rc<Node>,
+    req: Rc<CallerRequest>,
+    spec: EngineSpec,
+) -> Result<Response<AnswerBody>, Verdict> {
+    let mut generation = Generation {
+        node,
+        req,
+        spec,
+        avoid: Vec::new(),
+        ran: 0,
+        sends: 0,
+    };
+    let decode = generation.decode(None).await?;
+    let (status, headers) = (decode.exchange.status, decode.exchange.headers.clone());
+    let body = if status.is_success() {
+        AnswerBody::pieces(Pump::start(generation, decode).await?.into_pieces())
+    } else {
+        let body = decode.exchange.whole(MOST_WHOLE).await;
+        AnswerBody::whole(body.map_err(|fault| Verdict::lost(fault.reason()))?)
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    Ok(response)
+}
+
+impl Generation {
+    /// Returns the node.
+    pub fn node(&self) -> &Rc<Node> {
+        &self.node
+    }
+
+    /// Returns the request.
+    pub fn req(&self) -> &Rc<CallerRequest> {
+        &self.req
+    }
+
+    /// Takes in that a server failed the request after it may have run it.
+    pub fn failed_at(&mut self, server: ServerKey) {
+        self.avoid.push(server);
+        self.ran += 1;
+        self.req.may_have_run.set(true);
+    }
+
+    /// Whether the request may be sent to another server after one may have run it.
+    pub fn may_run_again(&self) -> bool {
+        self.req.route.is_resumable && self.ran < self.req.route.max_attempts.max(1)
+    }
+
+    /// Runs the request, from after `last_event` on, until a decode engine has taken it.
+    pub async fn decode(&mut self, last_event: Option<u64>) -> Result<Decode, Verdict> {
+        for _ in 0..MOST_ROUNDS {
+            let mut room = self.reserve().await?;
+            let kv = self.prefill(&room).await?;
+            let server = room.server;
+            match self.send_decode(&mut room, kv, last_event).await {
+                Ok(exchange) => return Ok(Decode { exchange, room }),
+                Err(fault) => {
+                    note_fault(&self.node, &self.req, server, fault);
+                    self.after_fault(server, fault)?;
+                }
+            }
+        }
+        Err(self.refusal("engines refused the request"))
+    }
+
+    fn after_fault(&mut self, server: ServerKey, fault: SendFault) -> Result<(), Verdict> {
+        if fault == WITHDRAWN {
+            return Err(self.refusal("key is not proved"));
+        }
+        if fault.may_have_run() {
+            self.failed_at(server);
+            crate::suspects::check(&self.node, server, &self.req);
+            if !self.may_run_again() {
+                return Err(Verdict::lost("engine gave no answer"));
+            }
+        } else {
+            self.avoid.push(server);
+        }
+        Ok(())
+    }
+
+    /// Refuses the request: not run, unless an earlier round may have run it.
+    fn refusal(&self, reason: &'static str) -> Verdict {
+        if self.req.may_have_run.get() {
+            return Verdict::lost(reason);
+        }
+        let policy = RoomPolicy {
+            target_latency: self.req.route.target_latency,
+        };
+        let left = self.req.time_left(self.node.now());
+        Verdict::unavailable(reason, policy.retry_after(left, self.node.draw()))
+    }
+
+    /// Tokens of engine memory that the request is expected to need.
+    fn needed_tokens(&self) -> u64 {
+        let Some(size) = self.req.headers.generation else {
+            return 0;
+        };
+        let expected = size.expected_output.map_or(size.max_output, |hint| {
+            ((hint as f64 * ESTIMATE_MARGIN) as u64).min(size.max_output)
+        });
+        size.prompt_tokens + expected
+    }
+
+    async fn reserve(&mut self) -> Result<Room, Verdict> {
+        let policy = RoomPolicy {
+            target_latency: self.req.route.target_latency,
+        };
+        let left = self.req.time_left(self.node.now());
+        let until = match policy.wait(self.req.arrived, left) {
+            RoomWait::Until(until) => until,
+            RoomWait::Refuse { retry_after } => {
+                return Err(Verdict::unavailable("no engine has room", retry_after));
+            }
+        };
+        let node = self.node.clone();
+        let waiting = node.room.join(self.req.priority, until);
+        loop {
+            if waiting.may_ask()
+                && let Some(room) = self.ask_engines().await
+            {
+                return Ok(room);
+            }
+            if node.now() >= until {
+                return Err(self.refusal("no engine has room"));
+            }
+            tokio::select! {
+                () = waiting.changed() => {}
+                () = sleep(ASK_AGAIN) => {}
+            }
+        }
+    }
+
+    async fn ask_engines(&mut self) -> Option<Room> {
+        let tokens = self.needed_tokens();
+        let candidates = self.node.state.borrow().pool.decode_candidates(
+            self.node.now(),
+            &self.req.service,
+            self.spec.kv_tokens,
+            tokens,
+            &self.avoid,
+        );
+        for server in candidates.into_iter().take(ASKED_AT_ONCE) {
+            let mut room = Room::plan(&self.node, server, tokens);
+            let dialect = self.node.adapter.servers;
+            let request = (dialect.take_hold)(tokens, self.spec.hold_lifetime);
+            match Exchange::call(&self.node, server, request).await {
+                Ok((StatusCode::OK, body)) => match (dialect.hold_result)(&body) {
+                    Ok(hold) => {
+                        room.hold = Some(hold);
+                        return Some(room);
+                    }
+                    Err(error) => {
+                        log::warn!("an engine's reservation is unreadable: {error}");
+                        self.node.record(server, Outcome::Broken);
+                    }
+                },
+                Ok(_) => self.node.record(server, Outcome::Full),
+                Err(fault) => log::debug!("no reservation: {}", fault.reason()),
+            }
+        }
+        None
+    }
+
+    /// Has the prompt read; `None` if no engine can, and the decode engine reads it by itself.
+    async fn prefill(&mut self, room: &Room) -> Result<Option<Kv>, Verdict> {
+        let zone = room.zone();
+        let mut tried = Vec::new();
+        while tried.len() < MOST_PREFILLS {
+            let now = self.node.now();
+            let picked = self.node.state.borrow().pool.pick_prefill(
+                now,
+                &self.req.service,
+                &zone,
+                &tried,
+            );
+            let Some(server) = picked else { break };
+            if !self.may_send() {
+                break;
+            }
+            tried.push(server);
+            match self.read_prompt(server).await {
+                Ok(kv) => return Ok(Some(kv)),
+                Err(WITHDRAWN) => return Err(self.refusal("key is not proved")),
+                Err(fault) => note_fault(&self.node, &self.req, server, fault),
+            }
+        }
+        Ok(None)
+    }
+
+    /// Takes a send out of the budget; the first one is free.
+    fn may_send(&mut self) -> bool {
+        self.sends += 1;
+        if self.sends == 1 {
+            return true;
+        }
+        let settings = self.node.settings();
+        let now = self.node.now();
+        let mut state = self.node.state.borrow_mut();
+        state.budget(&settings, &self.req.service).spend(now)
+    }
+
+    async fn read_prompt(&self, server: ServerKey) -> Result<Kv, SendFault> {
+        let tokens = self.req.headers.generation.map_or(0, |g| g.prompt_tokens);
+        let reading = Room::plan(&self.node, server, tokens);
+        let extra = ServerHeaders {
+            prefill_only: true,
+            priority: Some(self.req.priority),
+            ..ServerHeaders::default()
+        };
+        let within = PREFILL_TIMEOUT.min(self.req.time_left(self.node.now()));
+        let exchange = Exchange::send(&self.node, server, &self.req, extra, within).await?;
+        let status = exchange.status;
+        let body = exchange.whole(MOST_WHOLE).await?;
+        drop(reading);
+        if status != StatusCode::OK {
+            return Err(SendFault::Lost("prefill failed"));
+        }
+        let dialect = self.node.adapter.servers;
+        match (dialect.prefill_result)(&body) {
+            Ok(result) => Kv::at(&self.node, server, result.handle, tokens)
+                .ok_or(SendFault::Lost("engine is gone")),
+            Err(_) => Err(SendFault::Lost("unreadable prefill result")),
+        }
+    }
+
+    async fn send_decode(
+        &mut self,
+        room: &mut Room,
+        kv: Option<Kv>,
+        last_event: Option<u64>,
+    ) -> Result<Exchange, SendFault> {
+        let extra = ServerHeaders {
+            kv_source: kv.as_ref().map(|kv| kv.location.clone()),
+            hold: room.hold.clone(),
+            priority: Some(self.req.priority),
+            last_event: last_event.or(self.req.headers.last_event),
+            ..ServerHeaders::default()
+        };
+        let within = self.req.time_left(self.node.now());
+        let before = self.req.may_have_run.replace(true);
+        let sent = Exchange::send(&self.node, room.server, &self.req, extra, within).await;
+        match &sent {
+            Ok(_) => {
+                room.hold = None;
+                if let Some(kv) = kv {
+                    kv.taken.set(true);
+                }
+            }
+            Err(fault) if !fault.may_have_run() => self.req.may_have_run.set(before),
+            Err(_) => {}
+        }
+        sent
+    }
+}
+
+/// Memory of an engine that is set aside for a request; given back when this is dropped.
+pub struct Room {
+    node: Rc<Node>,
+    /// The engine.
+    pub server: ServerKey,
+    tokens: u64,
+    /// Reservation at the engine that has not been used yet.
+    pub hold: Option<SmolStr>,
+}
+
+impl Room {
+    fn plan(node: &Rc<Node>, server: ServerKey, tokens: u64) -> Self {
+        if let Some(s) = node.state.borrow_mut().pool.get_mut(server) {
+            s.own_tokens += tokens;
+        }
+        Self {
+            node: node.clone(),
+            server,
+            tokens,
+            hold: None,
+        }
+    }
+
+    fn zone(&self) -> SmolStr {
+        let state = self.node.state.borrow();
+        let server = state.pool.get(self.server);
+        server.map_or_else(SmolStr::default, |s| s.entry.zone.clone())
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        if let Some(s) = self.node.state.borrow_mut().pool.get_mut(self.server) {
+            s.own_tokens = s.own_tokens.saturating_sub(self.tokens);
+        }
+        self.node.room.changed();
+        if let Some(hold) = self.hold.take() {
+            let request = (self.node.adapter.servers.drop_hold)(&hold);
+            let (node, server) = (self.node.clone(), self.server);
+            tokio::task::spawn_local(async move {
+                // A reservation that is not released lapses by itself.
+                let released = Exchange::call(&node, server, request).await;
+                log::debug!("release: {}", released.is_ok());
+            });
+        }
+    }
+}
+
+/// KV cache of a prompt; freed when this is dropped before a decode engine has taken it.
+struct Kv {
+    node: Rc<Node>,
+    server: ServerKey,
+    location: KvLocation,
+    tokens: u64,
+    taken: Cell<bool>,
+}
+
+impl Kv {
+    fn at(node: &Rc<Node>, server: ServerKey, handle: SmolStr, tokens: u64) -> Option<Self> {
+        let state = node.state.borrow();
+        let address = state.pool.get(server)?.entry.address.clone();
+        Some(Self {
+            node: node.clone(),
+            server,
+            location: KvLocation { address, handle },
+            tokens,
+            taken: Cell::new(false),
+        })
+    }
+}
+
+impl Drop for Kv {
+    fn drop(&mut self) {
+        if self.taken.get() {
+            return;
+        }
+        self.node.metrics.wasted_prefill(self.tokens);
+        let request = (self.node.adapter.servers.drop_kv)(&self.location.handle);
+        let (node, server) = (self.node.clone(), self.server);
+        tokio::task::spawn_local(async move {
+            // A handle that is not freed lapses by itself.
+            let freed = Exchange::call(&node, server, request).await;
+            log::debug!("freed: {}", freed.is_ok());
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/instance.rs
@@ -0,0 +1,101 @@
+//! Starts all duties of an instance and runs them to the end.
+
+use std::future::Future;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::node::Node;
+use crate::{Adapter, EventCode, Settings, Table, callers, directory, drain, feeds, peers};
+
+/// Pause between two rounds of forgetting what is out of date.
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
+
+/// Time for the journal to write its last lines.
+const LAST_LINES: Duration = Duration::from_millis(60);
+
+/// An entry instance.
+pub struct Instance {
+    node: Rc<Node>,
+    path: PathBuf,
+}
+
+impl Instance {
+    /// Makes an instance that is ready to run.
+    ///
+    /// # Errors
+    /// Fails if the journal or the metrics cannot be started.
+    pub fn open(path: PathBuf, settings: Settings, adapter: Adapter) -> io::Result<Self> {
+        let node = Node::open(settings, adapter)?;
+        Ok(Self { node, path })
+    }
+
+    /// Runs until SIGTERM has been obeyed.
+    ///
+    /// # Errors
+    /// Fails if a duty cannot start.
+    pub fn run(self) -> io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let local = LocalSet::new();
+        local.block_on(&runtime, self.serve())
+    }
+
+    async fn serve(self) -> io::Result<()> {
+        let Self { node, path } = self;
+        let settings = node.settings();
+        node.note(
+            EventCode::Started,
+            [
+                ("instance", settings.instance.as_str().into()),
+                ("zone", settings.zone.as_str().into()),
+                ("incarnation", node.incarnation.into()),
+            ],
+        );
+        let listen = &settings.listen;
+        spawn_local(feeds::follow(node.clone(), Table::Config, "config"));
+        spawn_local(feeds::follow(node.clone(), Table::Servers, "servers"));
+        spawn_local(feeds::follow(node.clone(), Table::Instances, "instances"));
+        spawn_local(feeds::register(node.clone()));
+        spawn_local(sweep(node.clone()));
+        let (directory_at, readiness_at) = (listen.directory, listen.readiness);
+        let questions = [
+            (directory_at, directory::resolve as fn(&_, &_) -> _),
+            (readiness_at, directory::readiness),
+            (listen.metrics, directory::metrics),
+        ];
+        let [resolving, readiness, metrics] = questions
+            .map(|(address, answer)| callers::serve_questions(node.clone(), address, answer));
+        tokio::select! {
+            ended = drain::on_terminate(node.clone()) => ended?,
+            ended = drain::on_reload(node.clone(), path) => ended?,
+            ended = named("callers", callers::serve(node.clone())) => ended?,
+            ended = named("directory", resolving) => ended?,
+            ended = named("readiness", readiness) => ended?,
+            ended = named("metrics", metrics) => ended?,
+            ended = named("peers", peers::exchange(node.clone())) => ended?,
+        }
+        sleep(LAST_LINES).await;
+        Ok(())
+    }
+}
+
+async fn named(duty: &str, running: impl Future<Output = io::Result<()>>) -> io::Result<()> {
+    running
+        .await
+        .map_err(|error| io::Error::new(error.kind(), format!("{duty}: {error}")))
+}
+
+async fn sweep(node: Rc<Node>) {
+    loop {
+        sleep(SWEEP_EVERY).await;
+        let now = node.now();
+        node.state.borrow_mut().pool.expire_lapsed(now);
+        node.upstreams.expire(now);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,103 @@
+//! Counters and latency histograms for each customer and route, as Prometheus text.
+
+use std::io;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of histograms of times, in seconds; the latency targets are among them.
+const TIME_BOUNDS: [f64; 12] = [
+    0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 0.9, 1.5, 3.0, 6.0, 14.0,
+];
+
+/// The instruments of an instance.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    sends: Counter<u64>,
+    wasted: Counter<u64>,
+    store_calls: Counter<u64>,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    /// Fails if the exporter cannot be built.
+    pub fn open() -> io::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(io::Error::other)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("jacinthlever");
+        let latency = meter
+            .f64_histogram("jacinthlever_latency_seconds")
+            .with_boundaries(TIME_BOUNDS.to_vec())
+            .build();
+        Ok(Self {
+            requests: meter.u64_counter("jacinthlever_requests").build(),
+            latency,
+            sends: meter.u64_counter("jacinthlever_sends").build(),
+            wasted: meter
+                .u64_counter("jacinthlever_wasted_prefill_tokens")
+                .build(),
+            store_calls: meter.u64_counter("jacinthlever_store_calls").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts the final answer to a caller's request.
+    pub fn answered(&self, customer: &str, route: &str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("customer", customer.to_string()),
+            KeyValue::new("route", route.to_string()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Records the time from arrival to an answer, or to the first event of a stream.
+    pub fn latency(&self, customer: &str, route: &str, took: Duration) {
+        let labels = [
+            KeyValue::new("customer", customer.to_string()),
+            KeyValue::new("route", route.to_string()),
+        ];
+        self.latency.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Counts a send to a backend server of a service.
+    pub fn sent(&self, service: &str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.sends.add(1, &labels);
+    }
+
+    /// Counts prompt tokens that were read and not used.
+    pub fn wasted_prefill(&self, tokens: u64) {
+        self.wasted.add(tokens, &[]);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, duty: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("duty", duty)]);
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metrics cannot be encoded: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/room_queue.rs
@@ -0,0 +1,78 @@
+//! Generations that wait for engine memory, in the order in which they should get it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+/// Waiting generations that may ask engines at the same time.
+const ASKING: usize = 3;
+
+/// Place in the queue: the more urgent first, then the one that must start sooner.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Place {
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// When it is given up.
+    pub until: Duration,
+    number: u64,
+}
+
+/// The queue of one instance.
+#[derive(Default)]
+pub struct RoomQueue {
+    places: RefCell<BTreeMap<Place, ()>>,
+    next: Cell<u64>,
+    changed: Notify,
+}
+
+/// A place that is given up when this is dropped.
+pub struct Waiting<'a> {
+    queue: &'a RoomQueue,
+    place: Place,
+}
+
+impl RoomQueue {
+    /// Joins the queue.
+    pub fn join(&self, priority: u8, until: Duration) -> Waiting<'_> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let place = Place {
+            priority,
+            until,
+            number,
+        };
+        self.places.borrow_mut().insert(place, ());
+        Waiting { queue: self, place }
+    }
+
+    /// Takes in that an engine may have room.
+    pub fn changed(&self) {
+        self.changed.notify_waiters();
+    }
+
+    /// Number of generations that wait.
+    pub fn len(&self) -> usize {
+        self.places.borrow().len()
+    }
+}
+
+impl Waiting<'_> {
+    /// Whether it is this generation's turn to ask engines.
+    pub fn may_ask(&self) -> bool {
+        let places = self.queue.places.borrow();
+        places.keys().take(ASKING).any(|p| *p == self.place)
+    }
+
+    /// Waits until an engine may have room.
+    pub async fn changed(&self) {
+        self.queue.changed.notified().await;
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.queue.places.borrow_mut().remove(&self.place);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,186 @@
+//! Hands a stream of events to a caller, over several engines if one breaks.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use jacinthlever_routing::{EventSplitter, Outcome};
+use tokio::time::timeout;
+
+use crate::EventCode;
+use crate::answer::{Broken, Pieces, Verdict};
+use crate::exchange::{SendFault, note_fault};
+use crate::generation::{Decode, Generation};
+
+/// Latency targets without a first event after which an engine counts as silent.
+const FIRST_EVENT_TARGETS: f64 = 1.5;
+
+/// Pause targets without an event after which an engine counts as silent.
+const SILENT_PAUSES: u32 = 4;
+
+/// Shortest silence that counts.
+const MIN_SILENCE: Duration = Duration::from_millis(800);
+
+/// A stream on its way to a caller.
+pub struct Pump {
+    generation: Generation,
+    /// The run that produces events; `None` while another is sought.
+    decode: Option<Decode>,
+    events: EventSplitter,
+    /// Events that are complete and not handed over yet.
+    ready: Option<Bytes>,
+    last_event: Option<u64>,
+    has_event: bool,
+    is_over: bool,
+}
+
+impl Pump {
+    /// Starts a generation and waits for its first event.
+    ///
+    /// # Errors
+    /// Fails with a verdict that says whether the request may have run.
+    pub async fn start(generation: Generation, decode: Decode) -> Result<Self, Verdict> {
+        let mut pump = Self {
+            generation,
+            decode: Some(decode),
+            events: EventSplitter::default(),
+            ready: None,
+            last_event: None,
+            has_event: false,
+            is_over: false,
+        };
+        match pump.next().await {
+            None => pump.is_over = true,
+            Some(Ok(first)) => pump.ready = Some(first),
+            Some(Err(broken)) => {
+                log::debug!("{broken}");
+                return Err(Verdict::lost("engine gave no answer"));
+            }
+        }
+        let req = pump.generation.req();
+        let node = pump.generation.node();
+        let took = node.now().saturating_sub(req.arrived);
+        node.metrics
+            .latency(req.customer_name(), &req.route.name, took);
+        Ok(pump)
+    }
+
+    /// Turns this into the pieces of a body.
+    pub fn into_pieces(self) -> Pieces {
+        Box::pin(stream::unfold(self, |mut pump| async move {
+            let piece = match pump.ready.take() {
+                Some(first) => Some(Ok(first)),
+                None => pump.next().await,
+            };
+            pump.is_over |= matches!(piece, None | Some(Err(_)));
+            piece.map(|piece| (piece, pump))
+        }))
+    }
+
+    /// Returns the next whole events; `None` at the end of the stream.
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            let fault = match self.piece().await {
+                Ok(Some(bytes)) => match self.take(&bytes) {
+                    Some(events) if events.is_empty() => continue,
+                    Some(events) => return Some(Ok(events)),
+                    None => SendFault::Lost("event is too long"),
+                },
+                Ok(None) if self.events.has_partial() => SendFault::Lost("event ended early"),
+                Ok(None) => return None,
+                Err(fault) => fault,
+            };
+            if let Err(broken) = self.resume(fault).await {
+                return Some(Err(broken));
+            }
+        }
+    }
+
+    async fn piece(&mut self) -> Result<Option<Bytes>, SendFault> {
+        let left = {
+            let generation = &self.generation;
+            generation.req().time_left(generation.node().now())
+        };
+        let silence = if self.generation.may_run_again() {
+            self.silence().min(left)
+        } else {
+            left
+        };
+        let Some(decode) = &mut self.decode else {
+            return Err(SendFault::Lost("no engine"));
+        };
+        match timeout(silence, decode.exchange.piece()).await {
+            Ok(None) => Ok(None),
+            Ok(Some(piece)) => piece.map(Some),
+            Err(_) => {
+                let node = self.generation.node();
+                node.record(decode.exchange.server, Outcome::Silent);
+                Err(SendFault::Lost("engine is silent"))
+            }
+        }
+    }
+
+    fn silence(&self) -> Duration {
+        let route = &self.generation.req().route;
+        let silence = if self.has_event {
+            route.pause_target * SILENT_PAUSES
+        } else {
+            route.target_latency.mul_f64(FIRST_EVENT_TARGETS)
+        };
+        silence.max(MIN_SILENCE)
+    }
+
+    /// Puts events together; `None` if one is too long.
+    fn take(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let events = self.events.push(bytes)?;
+        let mut whole = Vec::new();
+        for event in events {
+            self.has_event = true;
+            self.last_event = event.id.or(self.last_event);
+            whole.extend_from_slice(&event.bytes);
+        }
+        Some(whole.into())
+    }
+
+    /// Goes on at another engine after a fault, if the route allows it.
+    async fn resume(&mut self, fault: SendFault) -> Result<(), Broken> {
+        let broken = Broken(fault.reason().into());
+        // The run that is left must not go on beside the next one.
+        if let Some(server) = self.decode.take().map(|d| d.exchange.server) {
+            let generation = &mut self.generation;
+            note_fault(generation.node(), generation.req(), server, fault);
+            crate::suspects::check(generation.node(), server, generation.req());
+            generation.failed_at(server);
+        }
+        let node = self.generation.node().clone();
+        let is_stuck = self.has_event && self.last_event.is_none();
+        if !self.generation.may_run_again() || is_stuck || !self.may_resend() {
+            return Err(broken);
+        }
+        let decode = self.generation.decode(self.last_event).await;
+        self.decode = match decode {
+            Ok(decode) if decode.exchange.status.is_success() => Some(decode),
+            Ok(_) | Err(_) => return Err(broken),
+        };
+        self.events = EventSplitter::default();
+        let req = self.generation.req();
+        let fields = [
+            ("request", req.headers.request_id.as_str().into()),
+            ("after_event", self.last_event.into()),
+            ("cause", fault.reason().into()),
+        ];
+        node.note(EventCode::Resumed, fields);
+        Ok(())
+    }
+
+    fn may_resend(&self) -> bool {
+        let node = self.generation.node();
+        let settings = node.settings();
+        let service = &self.generation.req().service;
+        let mut state = node.state.borrow_mut();
+        state.budget(&settings, service).spend(node.now())
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,26 @@
+//! The routing decisions of an entry instance, without I/O and without a clock of their own.
+//!
+//! Every method that depends on time takes it as a [`std::time::Duration`] since the start of the
+//! process. `docs/design/platform.md` says which decision is made where.
+
+mod config;
+mod event_stream;
+mod membership;
+mod poison;
+mod quota;
+mod resend_budget;
+mod room;
+mod server;
+mod server_pool;
+
+pub use config::{
+    CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
+};
+pub use event_stream::{EventSplitter, StreamEvent};
+pub use membership::{Member, MemberStatus, Membership};
+pub use poison::{Fingerprint, PoisonList};
+pub use quota::{QuotaBook, QuotaDecision};
+pub use resend_budget::ResendBudget;
+pub use room::{RoomPolicy, RoomWait};
+pub use server::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
+pub use server_pool::ServerPool;
--- /dev/null
+++ b/crates/routing/src/quota.rs
@@ -0,0 +1,148 @@
+//! Limits of customers, counted in tokens over the whole fleet.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::Quota;
+
+/// Whether a request may go on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuotaDecision {
+    /// The tokens were charged.
+    Charged,
+    /// The customer is over its limit.
+    Over {
+        /// When enough tokens will have come back.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Bucket {
+    quota: Quota,
+    level: f64,
+    filled: Duration,
+    /// Tokens that this instance has charged since its start.
+    charged: u64,
+}
+
+/// The buckets of all customers.
+///
+/// Every instance keeps the whole bucket of each customer and takes out what it charges itself at
+/// once, and what its peers have charged when it hears of it. While only a part of the fleet hears
+/// each other, the bucket fills by that part, so that the parts together give the whole.
+#[derive(Debug, Default)]
+pub struct QuotaBook {
+    buckets: BTreeMap<SmolStr, Bucket>,
+    /// What each peer has charged to each customer, as of its last message.
+    heard: BTreeMap<(SmolStr, SmolStr), u64>,
+    share: Share,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Share(f64);
+
+impl Default for Share {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+impl QuotaBook {
+    /// Applies the limits of a configuration.
+    pub fn configure(
+        &mut self,
+        now: Duration,
+        quotas: impl Iterator<Item = (SmolStr, Option<Quota>)>,
+    ) {
+        let quotas: BTreeMap<_, _> = quotas.collect();
+        self.buckets
+            .retain(|name, _| quotas.get(name).is_some_and(Option::is_some));
+        for (name, quota) in quotas {
+            let Some(quota) = quota else { continue };
+            let share = self.share.0;
+            let bucket = self.buckets.entry(name).or_insert(Bucket {
+                quota,
+                level: quota.burst,
+                filled: now,
+                charged: 0,
+            });
+            bucket.fill(now, share);
+            bucket.quota = quota;
+            bucket.level = bucket.level.min(quota.burst);
+        }
+    }
+
+    /// Sets which part of the fleet hears each other, between 0 and 1.
+    pub fn set_share(&mut self, now: Duration, share: f64) {
+        for bucket in self.buckets.values_mut() {
+            bucket.fill(now, self.share.0);
+        }
+        self.share = Share(share);
+    }
+
+    /// Charges a request of a customer, if its limit allows it.
+    pub fn charge(&mut self, now: Duration, customer: &str, tokens: u64) -> QuotaDecision {
+        let share = self.share.0;
+        let Some(bucket) = self.buckets.get_mut(customer) else {
+            return QuotaDecision::Charged;
+        };
+        bucket.fill(now, share);
+        // A request larger than the burst waits for a full bucket.
+        let needed = (tokens as f64).min(bucket.quota.burst);
+        if bucket.level < needed {
+            let rate = (bucket.quota.rate * share).max(1.0);
+            let missing = needed - bucket.level;
+            return QuotaDecision::Over {
+                retry_after: Duration::from_secs_f64((missing / rate).min(60.0)),
+            };
+        }
+        bucket.level -= tokens as f64;
+        bucket.charged += tokens;
+        QuotaDecision::Charged
+    }
+
+    /// Gives back the charge of a request that has not run.
+    pub fn refund(&mut self, customer: &str, tokens: u64) {
+        if let Some(bucket) = self.buckets.get_mut(customer) {
+            bucket.level = (bucket.level + tokens as f64).min(bucket.quota.burst);
+            bucket.charged = bucket.charged.saturating_sub(tokens);
+        }
+    }
+
+    /// Returns what this instance has charged to each customer since its start.
+    pub fn charged(&self) -> impl Iterator<Item = (&SmolStr, u64)> {
+        self.buckets
+            .iter()
+            .filter(|(_, b)| b.charged > 0)
+            .map(|(name, b)| (name, b.charged))
+    }
+
+    /// Takes in what a peer has charged to a customer since the peer's start.
+    pub fn heard(&mut self, now: Duration, peer: &str, customer: &str, charged: u64) {
+        let key = (SmolStr::new(peer), SmolStr::new(customer));
+        let before = self.heard.insert(key, charged).unwrap_or(0);
+        let share = self.share.0;
+        if let Some(bucket) = self.buckets.get_mut(customer) {
+            bucket.fill(now, share);
+            // A refund at the peer makes the count go back.
+            bucket.level -= charged as f64 - before as f64;
+            bucket.level = bucket.level.min(bucket.quota.burst);
+        }
+    }
+
+    /// Forgets the counts of a peer that has started anew.
+    pub fn forget_peer(&mut self, peer: &str) {
+        self.heard.retain(|(name, _), _| name != peer);
+    }
+}
+
+impl Bucket {
+    fn fill(&mut self, now: Duration, share: f64) {
+        let elapsed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = now.max(self.filled);
+        self.level = (self.level + elapsed * self.quota.rate * share).min(self.quota.burst);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/server.rs
@@ -0,0 +1,221 @@
+//! One backend server as an instance sees it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slotmap::new_key_type;
+use smol_str::SmolStr;
+
+new_key_type! {
+    /// Key of a backend server in the pool's arena.
+    pub struct ServerKey;
+}
+
+/// Which half of a generation an engine serves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EngineStage {
+    /// Reads prompts.
+    Prefill,
+    /// Produces tokens.
+    Decode,
+}
+
+/// What a registered backend server says of its life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServerState {
+    /// Takes work.
+    Ready,
+    /// Is about to leave and takes no new work.
+    Draining,
+}
+
+/// A backend server as it is registered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerEntry {
+    /// Identifier of this run of the server, unless it kept an older one; see `started`.
+    pub id: SmolStr,
+    /// Service that it belongs to.
+    pub service: SmolStr,
+    /// IP address and port.
+    pub address: SmolStr,
+    /// Availability zone.
+    pub zone: SmolStr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes work.
+    pub state: ServerState,
+    /// Stage, for engines.
+    pub stage: Option<EngineStage>,
+    /// Start of its process, in milliseconds of Unix time, if told.
+    pub started: Option<u64>,
+}
+
+/// How a call to a backend server ended, as far as the server's health goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// A whole answer.
+    Answered {
+        /// From the send to the head of the answer.
+        took: Duration,
+    },
+    /// An answer that says the server failed.
+    Failed,
+    /// The connection broke, or what came was no answer.
+    Broken,
+    /// No connection, or silence.
+    Silent,
+    /// The server had no room; this says nothing against its health.
+    Full,
+}
+
+/// Weight of one outcome in the failure average.
+const FAILURE_WEIGHT: f64 = 0.12;
+
+/// Time in which a failure average halves while nothing is sent.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Weight of one answer in the average of times.
+const TIME_WEIGHT: f64 = 0.15;
+
+/// Pause after a server did not answer at all; doubles up to [`MAX_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+
+/// Longest pause of a silent server.
+const MAX_PAUSE: Duration = Duration::from_secs(3);
+
+/// How long a load that a server told of itself is used.
+const LOAD_FRESH: Duration = Duration::from_millis(600);
+
+/// How long an engine that had no room is passed over while others may have some.
+const FULL_FOR: Duration = Duration::from_millis(80);
+
+/// How long the reservations of a peer are believed without a new message.
+const PEER_HOLDS_FRESH: Duration = Duration::from_millis(1500);
+
+/// A backend server, what runs on it, and how it has fared.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Registration.
+    pub entry: ServerEntry,
+    /// Calls under way from this instance.
+    pub in_flight: u32,
+    /// Tokens reserved or being read for requests of this instance.
+    pub own_tokens: u64,
+    /// Set while the registration has lapsed without notice.
+    pub lapsed: Option<Duration>,
+    /// Average of failures, and when it was last changed.
+    failures: f64,
+    failures_at: Duration,
+    /// Average time to the head of an answer, in seconds.
+    time: Option<f64>,
+    paused_until: Duration,
+    pause: Duration,
+    full_until: Duration,
+    /// Requests running and waiting as the server told last, and when.
+    told_load: Option<(u32, Duration)>,
+    /// Tokens that peers have reserved, each with when it was told.
+    peer_tokens: BTreeMap<SmolStr, (u64, Duration)>,
+}
+
+impl Server {
+    /// Makes a server that nothing is known of but its registration.
+    pub fn new(entry: ServerEntry) -> Self {
+        Self {
+            entry,
+            in_flight: 0,
+            own_tokens: 0,
+            lapsed: None,
+            failures: 0.0,
+            failures_at: Duration::ZERO,
+            time: None,
+            paused_until: Duration::ZERO,
+            pause: Duration::ZERO,
+            full_until: Duration::ZERO,
+            told_load: None,
+            peer_tokens: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in how a call ended.
+    pub fn record(&mut self, now: Duration, outcome: Outcome) {
+        let failed = match outcome {
+            Outcome::Full => {
+                self.full_until = now + FULL_FOR;
+                return;
+            }
+            Outcome::Answered { took } => {
+                let took = took.as_secs_f64();
+                let before = self.time.unwrap_or(took);
+                self.time = Some(before + TIME_WEIGHT * (took - before));
+                self.pause = Duration::ZERO;
+                0.0
+            }
+            Outcome::Failed | Outcome::Broken => 1.0,
+            Outcome::Silent => {
+                self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+                self.paused_until = now + self.pause;
+                1.0
+            }
+        };
+        let before = self.failure_rate(now);
+        self.failures = before + FAILURE_WEIGHT * (failed - before);
+        self.failures_at = now;
+    }
+
+    /// Takes in the load that the server told with an answer.
+    pub fn told_load(&mut self, now: Duration, running_and_waiting: u32) {
+        self.told_load = Some((running_and_waiting, now));
+    }
+
+    /// Takes in what a peer has reserved here.
+    pub fn peer_reserved(&mut self, now: Duration, peer: SmolStr, tokens: u64) {
+        self.peer_tokens.insert(peer, (tokens, now));
+    }
+
+    /// Forgets what a peer has reserved here.
+    pub fn peer_released(&mut self, peer: &str) {
+        self.peer_tokens.remove(peer);
+    }
+
+    /// Returns the part of calls that failed of late, between 0 and 1.
+    pub fn failure_rate(&self, now: Duration) -> f64 {
+        let idle = now.saturating_sub(self.failures_at).as_secs_f64();
+        self.failures * 0.5_f64.powf(idle / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Returns the average time to the head of an answer, in seconds.
+    pub fn time(&self) -> Option<f64> {
+        self.time
+    }
+
+    /// Whether new work may be sent here.
+    pub fn takes_work(&self) -> bool {
+        self.entry.state == ServerState::Ready
+    }
+
+    /// Whether it has not answered lately.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
+    /// Whether it had no room a moment ago.
+    pub fn is_full(&self, now: Duration) -> bool {
+        now < self.full_until
+    }
+
+    /// Returns the requests that run or wait here, as far as this instance knows.
+    pub fn load(&self, now: Duration) -> u32 {
+        let told = self
+            .told_load
+            .filter(|(_, at)| now < *at + LOAD_FRESH)
+            .map_or(0, |(load, _)| load);
+        told.max(self.in_flight)
+    }
+
+    /// Returns the tokens that are reserved here by this instance and its peers.
+    pub fn reserved_tokens(&self, now: Duration) -> u64 {
+        let peers = self.peer_tokens.values();
+        let fresh = peers.filter(|(_, at)| now < *at + PEER_HOLDS_FRESH);
+        self.own_tokens + fresh.map(|(tokens, _)| tokens).sum::<u64>()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/server_pool.rs
@@ -0,0 +1,265 @@
+//! All registered backend servers, and which of them gets a request.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+
+use crate::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
+
+/// How long a registration that lapsed while the store was away is still used.
+const LAPSED_KEPT: Duration = Duration::from_millis(2000);
+
+/// Load, in parts of a server's slots, that the way into another zone is worth.
+const OTHER_ZONE: f64 = 0.5;
+
+/// Load, in parts of a server's slots, that certain failure is worth.
+const FAILURE: f64 = 6.0;
+
+/// Load that a server which does not answer is worth, so that it goes last.
+const PAUSED: f64 = 50.0;
+
+/// Prompt tokens that reading the KV cache from another zone is worth.
+const OTHER_ZONE_TOKENS: f64 = 4000.0;
+
+/// Part of an engine's memory that failing all requests is worth.
+const FAILURE_MEMORY: f64 = 3.0;
+
+/// Ratio of a server's times to its siblings' from which it counts as slow.
+const SLOW_RATIO: f64 = 1.8;
+
+/// The backend servers of all services.
+#[derive(Debug, Default)]
+pub struct ServerPool {
+    servers: SlotMap<ServerKey, Server>,
+    by_id: BTreeMap<SmolStr, ServerKey>,
+}
+
+impl ServerPool {
+    /// Takes in a registration; a restarted server under its old identifier starts anew.
+    pub fn registered(&mut self, entry: ServerEntry) -> ServerKey {
+        if let Some(key) = self.by_id.get(&entry.id).copied() {
+            let known = &self.servers[key].entry;
+            let restarted = known.started.is_some()
+                && entry.started.is_some()
+                && known.started != entry.started;
+            if !restarted && known.address == entry.address {
+                let server = &mut self.servers[key];
+                server.entry = entry;
+                server.lapsed = None;
+                return key;
+            }
+            self.servers.remove(key);
+        }
+        let id = entry.id.clone();
+        let key = self.servers.insert(Server::new(entry));
+        self.by_id.insert(id, key);
+        key
+    }
+
+    /// Takes in that a registration is gone.
+    ///
+    /// While the store is away registrations lapse although the servers live, so such a server is
+    /// used on until [`ServerPool::expire_lapsed`].
+    pub fn unregistered(&mut self, now: Duration, id: &str, store_was_away: bool) {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return;
+        };
+        if store_was_away && self.servers[key].takes_work() {
+            self.servers[key].lapsed.get_or_insert(now);
+            return;
+        }
+        self.remove(id);
+    }
+
+    /// Removes servers whose registration lapsed and did not come back.
+    pub fn expire_lapsed(&mut self, now: Duration) {
+        let expired = |s: &Server| s.lapsed.is_some_and(|at| now >= at + LAPSED_KEPT);
+        let servers = self.servers.values();
+        let gone: Vec<SmolStr> = servers
+            .filter(|s| expired(s))
+            .map(|s| s.entry.id.clone())
+            .collect();
+        for id in gone {
+            self.remove(&id);
+        }
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some(key) = self.by_id.remove(id) {
+            self.servers.remove(key);
+        }
+    }
+
+    /// Returns a server that is still there.
+    pub fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// Returns a server that is still there, to change it.
+    pub fn get_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.servers.get_mut(key)
+    }
+
+    /// Returns a server by its identifier.
+    pub fn by_id(&self, id: &str) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns all servers.
+    pub fn all(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.servers.iter()
+    }
+
+    /// Returns the servers of a service that may get work.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (ServerKey, &'a Server)> {
+        self.servers
+            .iter()
+            .filter(move |(_, s)| s.entry.service == service && s.takes_work())
+    }
+
+    /// Records how a call ended.
+    pub fn record(&mut self, now: Duration, key: ServerKey, outcome: Outcome) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.record(now, outcome);
+        }
+    }
+
+    /// Picks the server of a plain service that should answer soonest.
+    pub fn pick_plain(
+        &self,
+        now: Duration,
+        service: &str,
+        zone: &str,
+        avoid: &[ServerKey],
+    ) -> Option<ServerKey> {
+        let usual = self.usual(now, service);
+        let cost = |s: &Server| {
+            let slots = f64::from(s.entry.slots.max(1));
+            let load = f64::from(s.load(now)) / slots;
+            let other_zone = if s.entry.zone == zone { 0.0 } else { OTHER_ZONE };
+            load + other_zone + usual.penalty(now, s)
+        };
+        self.of(service)
+            .filter(|(key, _)| !avoid.contains(key))
+            .min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))
+            .map(|(key, _)| key)
+    }
+
+    /// Picks the engine that should have read a prompt soonest.
+    pub fn pick_prefill(
+        &self,
+        now: Duration,
+        service: &str,
+        zone: &str,
+        avoid: &[ServerKey],
+    ) -> Option<ServerKey> {
+        let usual = self.usual(now, service);
+        let cost = |s: &Server| {
+            let other_zone = if s.entry.zone == zone {
+                0.0
+            } else {
+                OTHER_ZONE_TOKENS
+            };
+            let waiting = s.reserved_tokens(now) as f64;
+            waiting + other_zone + 4.0 * OTHER_ZONE_TOKENS * usual.penalty(now, s)
+        };
+        self.of(service)
+            .filter(|(key, s)| s.entry.stage == Some(EngineStage::Prefill) && !avoid.contains(key))
+            .min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))
+            .map(|(key, _)| key)
+    }
+
+    /// Returns the decode engines that should have room for `tokens`, the best first.
+    pub fn decode_candidates(
+        &self,
+        now: Duration,
+        service: &str,
+        memory: u64,
+        tokens: u64,
+        avoid: &[ServerKey],
+    ) -> Vec<ServerKey> {
+        let usual = self.usual(now, service);
+        let mut candidates: Vec<(f64, ServerKey)> = self
+            .of(service)
+            .filter(|(key, s)| s.entry.stage == Some(EngineStage::Decode) && !avoid.contains(key))
+            .filter(|(_, s)| !s.is_paused(now) && !s.is_full(now))
+            .filter(|(_, s)| s.reserved_tokens(now) + tokens <= memory)
+            .map(|(key, s)| {
+                let used = s.reserved_tokens(now) as f64 / memory as f64;
+                (used + FAILURE_MEMORY * usual.penalty(now, s), key)
+            })
+            .collect();
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        candidates.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Takes in all that a peer has reserved, replacing what it said before.
+    pub fn peer_reserved(&mut self, now: Duration, peer: &SmolStr, held: &[(SmolStr, u64)]) {
+        for server in self.servers.values_mut() {
+            server.peer_released(peer);
+        }
+        for (id, tokens) in held {
+            if let Some(key) = self.by_id.get(id) {
+                self.servers[*key].peer_reserved(now, peer.clone(), *tokens);
+            }
+        }
+    }
+
+    /// Returns what this instance has reserved at each server.
+    pub fn own_reserved(&self) -> Vec<(SmolStr, u64)> {
+        let servers = self.servers.values().filter(|s| s.own_tokens > 0);
+        servers
+            .map(|s| (s.entry.id.clone(), s.own_tokens))
+            .collect()
+    }
+
+    /// Marks a server as leaving, as it said itself.
+    pub fn drains(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.entry.state = ServerState::Draining;
+        }
+    }
+
+    fn usual(&self, now: Duration, service: &str) -> Usual {
+        let mut rates: Vec<f64> = self.of(service).map(|(_, s)| s.failure_rate(now)).collect();
+        let mut times: Vec<f64> = self.of(service).filter_map(|(_, s)| s.time()).collect();
+        Usual {
+            failure_rate: lower_median(&mut rates).unwrap_or(0.0),
+            time: lower_median(&mut times),
+        }
+    }
+}
+
+/// How the servers of a service usually fare; one that is worse than its siblings goes last.
+struct Usual {
+    failure_rate: f64,
+    time: Option<f64>,
+}
+
+impl Usual {
+    fn penalty(&self, now: Duration, server: &Server) -> f64 {
+        let excess = (server.failure_rate(now) - self.failure_rate).max(0.0);
+        let paused = if server.is_paused(now) { PAUSED } else { 0.0 };
+        paused + FAILURE * excess + self.slowness(server)
+    }
+
+    fn slowness(&self, server: &Server) -> f64 {
+        let Some((time, usual)) = server.time().zip(self.time) else {
+            return 0.0;
+        };
+        let ratio = time / usual.max(0.001);
+        if ratio > SLOW_RATIO {
+            (ratio - 1.0).min(4.0) / 2.0
+        } else {
+            0.0
+        }
+    }
+}
+
+fn lower_median(values: &mut [f64]) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    let middle = values.len().checked_sub(1)? / 2;
+    values.get(middle).copied()
+}
