Refunds for requests that did not run; lapsed registrations only after the store's return

Only a removal that is learnt right after the return can be one. Requests that were refused for lack of room kept their charge, so customers were refused later inside their limit. Ruled out: late feeds (the removal was applied 5 ms after its acknowledgement).

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -55,6 +55,8 @@
     pub fingerprint: Fingerprint,
     /// Whether a backend server may have run it.
     pub may_have_run: Cell<bool>,
+    /// Tokens that its customer was charged.
+    pub charged: u64,
 }
 
 impl CallerRequest {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -16,9 +16,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use jacinthlever_routing::{
-    CallerLimits, Customer, FleetConfig, QuotaDecision, Route, RouteKind,
-};
+use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, QuotaDecision, Route, RouteKind};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -282,14 +280,19 @@
     let patience = headers.patience.unwrap_or(admission.route.timeout);
     let give_up = arrived + patience.min(admission.route.timeout);
     let (parts, body) = req.into_parts();
-    let body = read_body(body, admission.config.limits, give_up.saturating_sub(arrived)).await?;
+    let body = read_body(
+        body,
+        admission.config.limits,
+        give_up.saturating_sub(arrived),
+    )
+    .await?;
     let now = node.now();
     let fingerprint = fingerprint(headers.key.as_deref(), &parts.method, &parts.uri, &body);
     if node.state.borrow().poison.is_poison(now, fingerprint) {
         let reason = "request crashed the servers that ran it";
         return Err(Verdict::reject(StatusCode::SERVICE_UNAVAILABLE, reason));
     }
-    charge(node, &admission, &headers)?;
+    let charged = charge(node, &admission, &headers)?;
     let settings = node.settings();
     let mut state = node.state.borrow_mut();
     state.budget(&settings, &admission.service).request(now);
@@ -312,6 +315,7 @@
         give_up,
         fingerprint,
         may_have_run: Cell::new(false),
+        charged,
     })
 }
 
@@ -367,7 +371,10 @@
 }
 
 fn host_of(req: &Request<Incoming>) -> &str {
-    let host = req.headers().get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = req
+        .headers()
+        .get(header::HOST)
+        .and_then(|v| v.to_str().ok());
     let host = host.or_else(|| req.uri().host()).unwrap_or("");
     host.split(':').next().unwrap_or(host)
 }
@@ -395,19 +402,20 @@
     }
 }
 
-fn charge(node: &Node, admission: &Admission, headers: &CallerHeaders) -> Result<(), Verdict> {
+/// Charges the customer and returns the tokens that were charged.
+fn charge(node: &Node, admission: &Admission, headers: &CallerHeaders) -> Result<u64, Verdict> {
     let Some(customer) = &admission.customer else {
-        return Ok(());
+        return Ok(0);
     };
     let Some(quota) = customer.quota else {
-        return Ok(());
+        return Ok(0);
     };
     let tokens = headers
         .generation
         .map_or(quota.plain_tokens, |g| g.prompt_tokens + g.max_output);
     let mut state = node.state.borrow_mut();
     match state.quotas.charge(node.now(), &customer.name, tokens) {
-        QuotaDecision::Charged => Ok(()),
+        QuotaDecision::Charged => Ok(tokens),
         QuotaDecision::Over { retry_after } => Err(Verdict::NotRun {
             status: StatusCode::TOO_MANY_REQUESTS,
             reason: "customer is over its limit",
@@ -425,12 +433,22 @@
             false => Verdict::unavailable("no server had room in time", RETRY_UNPROVED),
         })
     });
-    if let Ok(response) = &result {
-        note_answer(node, &req, response.status());
+    match &result {
+        Ok(response) => note_answer(node, &req, response.status()),
+        Err(Verdict::NotRun { .. }) => refund(node, &req),
+        Err(Verdict::MayHaveRun { .. }) => {}
     }
     result
 }
 
+/// Gives a customer back what was charged for a request that did not run.
+fn refund(node: &Node, req: &CallerRequest) {
+    if let Some(customer) = &req.customer {
+        let mut state = node.state.borrow_mut();
+        state.quotas.refund(customer, req.charged);
+    }
+}
+
 fn forward(
     node: Rc<Node>,
     req: Rc<CallerRequest>,
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -27,5 +27,8 @@
 
 fn boot_time() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
-    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+    Duration::new(
+        time.tv_sec.unsigned_abs(),
+        time.tv_nsec.unsigned_abs() as u32,
+    )
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -84,7 +84,11 @@
                 return expiry;
             }
             // A header section may begin while an idle connection is waited for.
-            sleep(left.min(limits.header_timeout).max(Duration::from_millis(1))).await;
+            sleep(
+                left.min(limits.header_timeout)
+                    .max(Duration::from_millis(1)),
+            )
+            .await;
         }
     }
 }
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -34,7 +34,11 @@
     node.drain.notify_waiters();
     let in_flight = node.in_flight.get();
     node.note(EventCode::Stopping, [("in_flight", in_flight.into())]);
-    let most = node.settings().bounds.grace().saturating_sub(END_BEFORE_KILL);
+    let most = node
+        .settings()
+        .bounds
+        .grace()
+        .saturating_sub(END_BEFORE_KILL);
     loop {
         sleep(LOOK).await;
         let elapsed = began.elapsed();
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -28,8 +28,9 @@
 /// Longest pause after a failed call.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
-/// How long after a failure of the store a registration that goes counts as lapsed.
-const LAPSE_SUSPECTED: Duration = Duration::from_secs(6);
+/// How long after the store's return a registration that is gone may only have lapsed: the server
+/// could not reach the store either.
+const LAPSE_SUSPECTED: Duration = Duration::from_millis(700);
 
 /// Registration of an instance, as it is kept in the store.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -117,6 +118,7 @@
 ) -> Result<Option<u64>, StoreFault> {
     let asked = node.now();
     let rows = client.read(table).await?;
+    note_regained(node, table, client);
     let version = rows.version;
     remove_others(node, table, &rows);
     apply(node, table, asked, rows);
@@ -134,7 +136,9 @@
         Table::Config | Table::Servers => PROVED_WAIT,
         Table::Instances | Table::Duties => INSTANCES_WAIT,
     };
-    match client.watch(table, after, wait).await? {
+    let feed = client.watch(table, after, wait).await?;
+    note_regained(node, table, client);
+    match feed {
         Feed::TooOld => Ok(None),
         Feed::Rows(rows) => {
             let version = rows.version.max(after);
@@ -144,6 +148,12 @@
     }
 }
 
+fn note_regained(node: &Node, table: Table, client: &StoreClient) {
+    if table == Table::Servers {
+        node.state.borrow_mut().servers_regained = client.regained();
+    }
+}
+
 fn apply(node: &Node, table: Table, asked: Duration, rows: Rows) {
     for row in rows.rows {
         match table {
@@ -230,8 +240,8 @@
 fn server_gone(node: &Node, id: &SmolStr) {
     let now = node.now();
     let mut state = node.state.borrow_mut();
-    let failed = state.store_failed;
-    let store_was_away = failed.is_some_and(|at| now < at + LAPSE_SUSPECTED);
+    let regained = state.servers_regained;
+    let store_was_away = regained.is_some_and(|at| now < at + LAPSE_SUSPECTED);
     state.pool.unregistered(now, id, store_was_away);
     drop(state);
     let fields = [
@@ -256,7 +266,9 @@
                 peers: registration.peers,
                 zone: registration.zone,
             };
-            state.members.registered(node.now(), row.key.clone(), member);
+            state
+                .members
+                .registered(node.now(), row.key.clone(), member);
         }
         Err(error) => {
             drop(state);
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -234,12 +234,12 @@
         let mut tried = Vec::new();
         while tried.len() < MOST_PREFILLS {
             let now = self.node.now();
-            let picked = self.node.state.borrow().pool.pick_prefill(
-                now,
-                &self.req.service,
-                &zone,
-                &tried,
-            );
+            let picked =
+                self.node
+                    .state
+                    .borrow()
+                    .pool
+                    .pick_prefill(now, &self.req.service, &zone, &tried);
             let Some(server) = picked else { break };
             if !self.may_send() {
                 break;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -97,7 +97,9 @@
     fn start(&mut self) -> bool {
         let sent = self.ran + self.attempts.len() as u32;
         let may_repeat = self.is_idempotent() || sent == 0;
-        if !may_repeat || sent >= self.req.route.max_attempts.max(1) || self.fault == Some(WITHDRAWN)
+        if !may_repeat
+            || sent >= self.req.route.max_attempts.max(1)
+            || self.fault == Some(WITHDRAWN)
         {
             return false;
         }
@@ -116,8 +118,9 @@
         drop(state);
         self.tried.push(server);
         let (node, req) = (self.node.clone(), self.req.clone());
-        self.attempts
-            .push(Box::pin(async move { (server, send(&node, server, &req).await) }));
+        self.attempts.push(Box::pin(async move {
+            (server, send(&node, server, &req).await)
+        }));
         true
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,8 +36,8 @@
     pub poison: PoisonList,
     /// Budgets of resends by service.
     pub budgets: BTreeMap<SmolStr, ResendBudget>,
-    /// When the store last failed to answer.
-    pub store_failed: Option<Duration>,
+    /// When the store answered again after it had failed to tell the servers.
+    pub servers_regained: Option<Duration>,
     /// Whether the process is stopping.
     pub is_draining: bool,
 }
@@ -80,9 +80,9 @@
     /// Returns the budget of resends to a service.
     pub fn budget(&mut self, settings: &Settings, service: &SmolStr) -> &mut ResendBudget {
         let bounds = &settings.bounds;
-        self.budgets.entry(service.clone()).or_insert_with(|| {
-            ResendBudget::new(bounds.resend_window(), bounds.resend_ratio, 0.0)
-        })
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| ResendBudget::new(bounds.resend_window(), bounds.resend_ratio, 0.0))
     }
 
     /// Shares fleet-wide allowances out again, as the fleet is now.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -59,6 +59,7 @@
     duty: &'static str,
     connection: Option<SendRequest<Sent>>,
     is_lost: bool,
+    regained: Option<Duration>,
 }
 
 impl StoreClient {
@@ -69,9 +70,15 @@
             duty,
             connection: None,
             is_lost: false,
+            regained: None,
         }
     }
 
+    /// Returns when the store answered again after it last had not.
+    pub fn regained(&self) -> Option<Duration> {
+        self.regained
+    }
+
     /// Reads all rows of a table.
     ///
     /// # Errors
@@ -81,7 +88,9 @@
         let mut all = Rows::default();
         let mut from = String::new();
         loop {
-            let bytes = self.ok((dialect.read)(table, &from), Duration::ZERO).await?;
+            let bytes = self
+                .ok((dialect.read)(table, &from), Duration::ZERO)
+                .await?;
             let page = self.decode((dialect.rows)(&bytes))?;
             // Pages are read one after the other, so changes are watched from the oldest version.
             let first = all.rows.is_empty();
@@ -183,14 +192,13 @@
             .header(http::header::HOST, &address)
             .body(Full::new(Bytes::from(call.body)))
             .map_err(|error| StoreFault::Unreadable(error.to_string()))?;
-        sender
-            .ready()
-            .await
-            .map_err(|_| StoreFault::Unreachable)?;
+        sender.ready().await.map_err(|_| StoreFault::Unreachable)?;
         let response = sender.send_request(request).await;
         let response = response.map_err(|_| StoreFault::Unanswered)?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
+        let body = Limited::new(response.into_body(), MOST_BYTES)
+            .collect()
+            .await;
         let bytes = body.map_err(|_| StoreFault::Unanswered)?.to_bytes();
         self.connection = Some(sender);
         Ok((status, bytes))
@@ -198,13 +206,13 @@
 
     fn answered(&mut self) {
         if std::mem::take(&mut self.is_lost) {
+            self.regained = Some(self.node.now());
             self.node
                 .note(EventCode::StoreRegained, [("duty", self.duty.into())]);
         }
     }
 
     fn fault(&mut self, fault: StoreFault) -> StoreFault {
-        self.node.state.borrow_mut().store_failed = Some(self.node.now());
         if !std::mem::replace(&mut self.is_lost, true) {
             self.node.note(
                 EventCode::StoreLost,
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -138,7 +138,11 @@
         let cost = |s: &Server| {
             let slots = f64::from(s.entry.slots.max(1));
             let load = f64::from(s.load(now)) / slots;
-            let other_zone = if s.entry.zone == zone { 0.0 } else { OTHER_ZONE };
+            let other_zone = if s.entry.zone == zone {
+                0.0
+            } else {
+                OTHER_ZONE
+            };
             load + other_zone + usual.penalty(now, s)
         };
         self.of(service)
