--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -42,6 +42,8 @@
     Failed = 602,
     /// A request is sent to a backend server.
     Sent = 603,
+    /// A generation has its first event.
+    FirstEvent = 608,
     /// A send to a backend server failed.
     SendFailed = 604,
     /// A stream goes on at another backend server.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -397,15 +397,13 @@
 
 /// Logs a send that failed.
 pub fn note_fault(node: &Node, req: &CallerRequest, server: ServerKey, fault: SendFault) {
-    let state = node.state.borrow();
-    let id = state.pool.get(server).map(|s| s.entry.id.clone());
-    drop(state);
+    let id = node.state.borrow().pool.id_of(server);
     node.metrics.sent(&req.service, fault.reason());
     node.note(
         EventCode::SendFailed,
         [
             ("request", req.headers.request_id.as_str().into()),
-            ("server", id.as_deref().unwrap_or("gone").into()),
+            ("server", id.as_str().into()),
             ("cause", fault.reason().into()),
             ("may_have_run", fault.may_have_run().into()),
         ],
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -17,7 +17,7 @@
 use crate::exchange::{Exchange, MOST_WHOLE, SendFault, WITHDRAWN, note_fault};
 use crate::node::Node;
 use crate::stream::Pump;
-use crate::{KvLocation, ServerHeaders};
+use crate::{EventCode, KvLocation, ServerHeaders};
 
 /// Pause between two rounds of asking engines for room.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
@@ -35,7 +35,7 @@
 const MOST_ROUNDS: u32 = 3;
 
 /// Part by which the caller's estimate of the output is raised for the reservation.
-const ESTIMATE_MARGIN: f64 = 1.5;
+const ESTIMATE_MARGIN: f64 = 1.0;
 
 /// A generation on its way to its first event.
 pub struct Generation {
@@ -48,6 +48,17 @@
     ran: u32,
     /// Sends so far, for the budget.
     sends: u32,
+    /// When each step ended, for the log.
+    steps: Steps,
+}
+
+/// When the steps of a generation ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Steps {
+    /// Memory was reserved.
+    pub reserved: Duration,
+    /// The prompt was read.
+    pub read: Duration,
 }
 
 /// A running decode.
@@ -74,6 +85,7 @@
         avoid: Vec::new(),
         ran: 0,
         sends: 0,
+        steps: Steps::default(),
     };
     let decode = generation.decode(None).await?;
     let (status, headers) = (decode.exchange.status, decode.exchange.headers.clone());
@@ -100,6 +112,29 @@
         &self.req
     }
 
+    /// Logs that the first event came, and where the time went.
+    pub fn note_first_event(&self, server: ServerKey) {
+        let (node, req) = (&self.node, &self.req);
+        let now = node.now();
+        let took = now.saturating_sub(req.arrived);
+        node.metrics
+            .latency(req.customer_name(), &req.route.name, took);
+        let ms = |from: Duration, to: Duration| to.saturating_sub(from).as_millis() as u64;
+        let id = node.state.borrow().pool.id_of(server);
+        node.note(
+            EventCode::FirstEvent,
+            [
+                ("request", req.headers.request_id.as_str().into()),
+                ("server", id.as_str().into()),
+                ("tokens", self.needed_tokens().into()),
+                ("room_ms", ms(req.arrived, self.steps.reserved).into()),
+                ("read_ms", ms(self.steps.reserved, self.steps.read).into()),
+                ("decode_ms", ms(self.steps.read, now).into()),
+                ("sends", self.sends.into()),
+            ],
+        );
+    }
+
     /// Takes in that a server failed the request after it may have run it.
     pub fn failed_at(&mut self, server: ServerKey) {
         self.avoid.push(server);
@@ -116,7 +151,9 @@
     pub async fn decode(&mut self, last_event: Option<u64>) -> Result<Decode, Verdict> {
         for _ in 0..MOST_ROUNDS {
             let mut room = self.reserve().await?;
+            self.steps.reserved = self.node.now();
             let kv = self.prefill(&room).await?;
+            self.steps.read = self.node.now();
             let server = room.server;
             match self.send_decode(&mut room, kv, last_event).await {
                 Ok(exchange) => return Ok(Decode { exchange, room }),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -57,11 +57,9 @@
                 return Err(Verdict::lost("engine gave no answer"));
             }
         }
-        let req = pump.generation.req();
-        let node = pump.generation.node();
-        let took = node.now().saturating_sub(req.arrived);
-        node.metrics
-            .latency(req.customer_name(), &req.route.name, took);
+        if let Some(decode) = &pump.decode {
+            pump.generation.note_first_event(decode.exchange.server);
+        }
         Ok(pump)
     }
 
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -107,6 +107,12 @@
         self.by_id.get(id).copied()
     }
 
+    /// Returns the identifier of a server for logs; empty if it is gone.
+    pub fn id_of(&self, key: ServerKey) -> SmolStr {
+        let server = self.servers.get(key);
+        server.map_or_else(SmolStr::default, |s| s.entry.id.clone())
+    }
+
     /// Returns all servers.
     pub fn all(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
         self.servers.iter()
