Zones with speakers and watchers; proofs travel between instances; peers' history is not charged

An instance that started late debited all that its peers had ever charged and refused customers inside their limit. Change: reports stay in the zone, one speaker a zone sends digests to the others, two instances a zone watch the store, the others take their proofs (times of the store's clock) and read when told of newer rows. A count is taken from when its source is first heard, unless the source is younger.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -51,8 +51,7 @@
 }
 
 fn is_ready(node: &Node) -> bool {
-    let state = node.state.borrow();
-    state.is_serving() && state.keys_are_proved(node.now(), &node.settings())
+    node.state.borrow().is_ready(node.now(), &node.settings())
 }
 
 /// The instances that take requests; if none is known to, all that this one hears.
@@ -60,8 +59,8 @@
     let settings = node.settings();
     let state = node.state.borrow();
     let own = SmolStr::new(settings.listen.callers.to_string());
-    let ready = state.members.ready(node.now()).map(|m| m.callers.clone());
-    let mut addresses: Vec<SmolStr> = ready.take(MOST_ADDRESSES - 1).collect();
+    let mut addresses = state.members.ready(node.now());
+    addresses.truncate(MOST_ADDRESSES - 1);
     drop(state);
     let alone = addresses.is_empty() && node.state.borrow().is_serving();
     if is_ready(node) || alone {
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -9,18 +9,35 @@
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
+use crate::freshness::Freshness;
 use crate::node::Node;
+use crate::state::State;
 use crate::store::{StoreClient, StoreFault};
 use crate::{EventCode, Feed, Row, RowWrite, Rows, Settings, Table};
 
-/// Longest wait for a change of the configuration or of the servers.
+/// Longest wait of an instance that watches a table for its zone.
 ///
-/// Each answer proves that what this instance believes is the newest, so it must be well below the
-/// time in which a withdrawn key stops working, and in which a leaving server gets no more work.
-const PROVED_WAIT: Duration = Duration::from_millis(1500);
+/// Each answer proves that what the zone believes is the newest, so it must be well below the time
+/// in which a withdrawn key stops working, and in which a leaving server gets no more work.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
-/// Longest wait for a change of the registered instances, whose datagrams tell more.
-const INSTANCES_WAIT: Duration = Duration::from_secs(10);
+/// Instances of a zone that watch a table; the others hear from them.
+const WATCHERS: usize = 2;
+
+/// Age of a proof from which an instance watches by itself, whoever else should.
+const PROOF_OVERDUE: Duration = Duration::from_millis(1500);
+
+/// Further age for each place in the zone, so that not all step in at once.
+const OVERDUE_A_RANK: Duration = Duration::from_millis(40);
+
+/// Longest further age.
+const MOST_RANK_DELAY: Duration = Duration::from_millis(600);
+
+/// Pause after changes came, in which more of them gather.
+const GATHER: Duration = Duration::from_millis(200);
+
+/// Pause between two looks at whether this instance must watch.
+const LOOK: Duration = Duration::from_millis(200);
 
 /// First pause after a failed call; doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
@@ -28,6 +45,9 @@
 /// Longest pause after a failed call.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pauses after a failed call are this much longer if others watch for the zone.
+const NOT_WATCHING: u32 = 3;
+
 /// How long after the store's return a registration that is gone may only have lapsed: the server
 /// could not reach the store either.
 const LAPSE_SUSPECTED: Duration = Duration::from_millis(700);
@@ -62,18 +82,175 @@
 
 /// Follows a table for as long as the process runs.
 pub async fn follow(node: Rc<Node>, table: Table, duty: &'static str) {
-    let mut client = StoreClient::new(node.clone(), duty);
-    let mut pause = Pause::default();
-    let mut version = None;
+    let mut feed = Follower {
+        client: StoreClient::new(node.clone(), duty),
+        node,
+        table,
+        version: None,
+        pause: Pause::default(),
+    };
     loop {
-        let result = match version {
-            None => read(&node, &mut client, table).await,
-            Some(after) => watch(&node, &mut client, table, after).await,
+        feed.step().await;
+    }
+}
+
+/// Follows one table.
+struct Follower {
+    node: Rc<Node>,
+    client: StoreClient,
+    table: Table,
+    /// Version of the store up to which changes are known.
+    version: Option<u64>,
+    pause: Pause,
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        let Some(after) = self.version else {
+            let read = self.read().await;
+            return self.settle(read).await;
         };
+        let is_watching = self.must_watch();
+        if is_watching || self.is_behind() {
+            let wait = if is_watching {
+                WATCH_WAIT
+            } else {
+                Duration::ZERO
+            };
+            let watched = self.watch(after, wait).await;
+            return self.settle(watched).await;
+        }
+        let node = self.node.clone();
+        tokio::select! {
+            () = node.hinted.notified() => {}
+            () = sleep(LOOK) => {}
+        }
+    }
+
+    /// Pauses after a failure, and after changes so that more of them gather.
+    async fn settle(&mut self, result: Result<bool, StoreFault>) {
         match result {
-            Ok(next) => {
-                version = next;
-                pause = Pause::default();
+            Ok(has_changes) => {
+                self.pause = Pause::default();
+                if has_changes && self.table == Table::Servers {
+                    sleep(GATHER).await;
+                }
+            }
+            Err(_) => {
+                let pause = self.pause.next(self.node.draw());
+                let is_watcher = self.rank() < WATCHERS;
+                sleep(if is_watcher {
+                    pause
+                } else {
+                    pause * NOT_WATCHING
+                })
+                .await;
+            }
+        }
+    }
+
+    fn rank(&self) -> usize {
+        self.node.state.borrow().members.rank(self.node.now())
+    }
+
+    /// Whether this instance watches for its zone, or nobody seems to.
+    fn must_watch(&self) -> bool {
+        let rank = self.rank();
+        if rank < WATCHERS {
+            return true;
+        }
+        let delay = (OVERDUE_A_RANK * rank as u32).min(MOST_RANK_DELAY);
+        let state = self.node.state.borrow();
+        let age = state.age(self.node.now(), self.freshness(&state));
+        age.is_none_or(|age| age > PROOF_OVERDUE + delay)
+    }
+
+    /// Whether a peer knows newer rows.
+    fn is_behind(&self) -> bool {
+        let state = self.node.state.borrow();
+        let hinted = match self.table {
+            Table::Config => state.hinted.0,
+            _ => state.hinted.1,
+        };
+        hinted > self.freshness(&state).row
+    }
+
+    fn freshness(&self, state: &State) -> Freshness {
+        match self.table {
+            Table::Config => state.config_fresh,
+            _ => state.servers_fresh,
+        }
+    }
+
+    async fn read(&mut self) -> Result<bool, StoreFault> {
+        let asked = self.node.now();
+        let rows = self.client.read(self.table).await?;
+        self.note_regained();
+        remove_others(&self.node, self.table, &rows);
+        self.version = Some(rows.version);
+        self.apply(asked, rows);
+        Ok(true)
+    }
+
+    async fn watch(&mut self, after: u64, wait: Duration) -> Result<bool, StoreFault> {
+        let asked = self.node.now();
+        let feed = self.client.watch(self.table, after, wait).await?;
+        self.note_regained();
+        match feed {
+            Feed::TooOld => {
+                self.version = None;
+                Ok(false)
+            }
+            Feed::Rows(rows) => {
+                let has_changes = !rows.rows.is_empty();
+                self.version = Some(rows.version.max(after));
+                self.apply(asked, rows);
+                Ok(has_changes)
+            }
+        }
+    }
+
+    fn note_regained(&self) {
+        if self.table == Table::Servers {
+            self.node.state.borrow_mut().servers_regained = self.client.regained();
+        }
+    }
+
+    fn apply(&self, asked: Duration, rows: Rows) {
+        let newest = rows.rows.iter().map(|row| row.version).max();
+        for row in rows.rows {
+            match self.table {
+                // What cannot be read may withdraw a key, so the older one is no longer proved.
+                Table::Config if !apply_config(&self.node, &row) => return,
+                Table::Config => {}
+                _ => apply_server(&self.node, &row),
+            }
+        }
+        let mut state = self.node.state.borrow_mut();
+        state.store_clock.answered(asked, rows.store_ms);
+        let fresh = match self.table {
+            Table::Config => &mut state.config_fresh,
+            _ => &mut state.servers_fresh,
+        };
+        fresh.row = fresh.row.max(newest.unwrap_or(0));
+        fresh.proved_ms = fresh.proved_ms.max(rows.store_ms);
+    }
+}
+
+/// Registers this instance and reads who else is, until the store has answered both.
+///
+/// Of two instances that start together, the one that reads later sees the other.
+pub async fn join(node: Rc<Node>) {
+    register(node.clone()).await;
+    let mut client = StoreClient::new(node.clone(), "instances");
+    let mut pause = Pause::default();
+    loop {
+        match client.read(Table::Instances).await {
+            Ok(rows) => {
+                for row in &rows.rows {
+                    apply_instance(&node, row);
+                }
+                return;
             }
             Err(_) => sleep(pause.next(node.draw())).await,
         }
@@ -81,7 +258,7 @@
 }
 
 /// Registers this instance, until the store has taken it.
-pub async fn register(node: Rc<Node>) {
+async fn register(node: Rc<Node>) {
     let mut client = StoreClient::new(node.clone(), "register");
     let mut pause = Pause::default();
     let settings = node.settings();
@@ -111,64 +288,6 @@
     }
 }
 
-async fn read(
-    node: &Node,
-    client: &mut StoreClient,
-    table: Table,
-) -> Result<Option<u64>, StoreFault> {
-    let asked = node.now();
-    let rows = client.read(table).await?;
-    note_regained(node, table, client);
-    let version = rows.version;
-    remove_others(node, table, &rows);
-    apply(node, table, asked, rows);
-    Ok(Some(version))
-}
-
-async fn watch(
-    node: &Node,
-    client: &mut StoreClient,
-    table: Table,
-    after: u64,
-) -> Result<Option<u64>, StoreFault> {
-    let asked = node.now();
-    let wait = match table {
-        Table::Config | Table::Servers => PROVED_WAIT,
-        Table::Instances | Table::Duties => INSTANCES_WAIT,
-    };
-    let feed = client.watch(table, after, wait).await?;
-    note_regained(node, table, client);
-    match feed {
-        Feed::TooOld => Ok(None),
-        Feed::Rows(rows) => {
-            let version = rows.version.max(after);
-            apply(node, table, asked, rows);
-            Ok(Some(version))
-        }
-    }
-}
-
-fn note_regained(node: &Node, table: Table, client: &StoreClient) {
-    if table == Table::Servers {
-        node.state.borrow_mut().servers_regained = client.regained();
-    }
-}
-
-fn apply(node: &Node, table: Table, asked: Duration, rows: Rows) {
-    for row in rows.rows {
-        match table {
-            Table::Config => apply_config(node, &row),
-            Table::Servers => apply_server(node, &row),
-            Table::Instances => apply_instance(node, &row),
-            Table::Duties => {}
-        }
-    }
-    if table == Table::Config {
-        let mut state = node.state.borrow_mut();
-        state.config_proved = state.config_proved.max(Some(asked));
-    }
-}
-
 fn remove_others(node: &Node, table: Table, rows: &Rows) {
     if table != Table::Servers {
         return;
@@ -194,11 +313,17 @@
     );
 }
 
-fn apply_config(node: &Node, row: &Row) {
-    let Some(value) = &row.value else { return };
+/// Puts a configuration in force; false if it cannot be read.
+fn apply_config(node: &Node, row: &Row) -> bool {
+    let Some(value) = &row.value else {
+        return false;
+    };
     let config = match (node.adapter.store.config)(value) {
         Ok(config) => config,
-        Err(error) => return unreadable(node, row, error.to_string()),
+        Err(error) => {
+            unreadable(node, row, error.to_string());
+            return false;
+        }
     };
     let number = config.version;
     let applied = node
@@ -209,6 +334,7 @@
         let fields = [("version", number.into()), ("row", row.version.into())];
         node.note(EventCode::ConfigApplied, fields);
     }
+    true
 }
 
 fn apply_server(node: &Node, row: &Row) {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -239,6 +239,7 @@
         let candidates = self.node.state.borrow().pool.decode_candidates(
             self.node.now(),
             &self.req.service,
+            &self.node.settings().zone,
             self.spec.kv_tokens,
             tokens,
             &self.avoid,
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -60,8 +60,7 @@
         let listen = &settings.listen;
         spawn_local(feeds::follow(node.clone(), Table::Config, "config"));
         spawn_local(feeds::follow(node.clone(), Table::Servers, "servers"));
-        spawn_local(feeds::follow(node.clone(), Table::Instances, "instances"));
-        spawn_local(feeds::register(node.clone()));
+        spawn_local(feeds::join(node.clone()));
         spawn_local(sweep(node.clone()));
         let (directory_at, readiness_at) = (listen.directory, listen.readiness);
         let questions = [
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod event_code;
 mod exchange;
 mod feeds;
+mod freshness;
 mod generation;
 mod instance;
 mod journal;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 use tokio::sync::Notify;
 
+use crate::peers::Received;
 use crate::room_queue::RoomQueue;
 use crate::state::State;
 use crate::upstreams::Upstreams;
@@ -31,6 +32,10 @@
     pub journal: Journal,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Digests of other zones that came here.
+    pub received: RefCell<Received>,
+    /// Told when a peer may know newer rows of the store's tables.
+    pub hinted: Notify,
     /// Told once when the process begins to stop.
     pub drain: Notify,
     /// Requests that are not answered in full yet.
@@ -51,15 +56,18 @@
         let seed = blake3::hash(format!("{}/{incarnation}", settings.instance).as_bytes());
         let mut word = [0; 8];
         word.copy_from_slice(&seed.as_bytes()[..8]);
+        let state = State::new(&settings);
         Ok(Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             adapter,
             clock,
-            state: RefCell::default(),
+            state: RefCell::new(state),
             upstreams: Upstreams::default(),
             room: RoomQueue::default(),
             journal: Journal::spawn(clock)?,
             metrics: Metrics::open()?,
+            received: RefCell::default(),
+            hinted: Notify::new(),
             drain: Notify::new(),
             in_flight: Cell::new(0),
             incarnation,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,46 +1,115 @@
-//! Datagrams between instances: who is there, and what each has charged and reserved.
+//! Datagrams between instances: who is there, what each has charged and reserved, and how new the
+//! store's tables are.
 //!
-//! Every datagram carries totals, so a lost one is made good by the next; see
-//! `docs/design/platform.md`.
+//! Within an availability zone every instance reports to every other; between zones one speaker
+//! for each zone sends a digest. Every datagram carries totals, so a lost one is made good by the
+//! next; see `docs/design/platform.md`.
 
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{Fingerprint, Member, MemberStatus};
+use jacinthlever_routing::{Fingerprint, Heard, Member, MemberStatus, ZoneDigest};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::feeds::own_member;
+use crate::freshness::Freshness;
 use crate::node::Node;
 
-/// Time between two datagrams to each peer.
-const INTERVAL: Duration = Duration::from_millis(150);
+/// Shortest time between two reports to each peer.
+const MIN_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time between two reports for each peer in the zone, so that a large zone is not flooded.
+const INTERVAL_A_PEER: Duration = Duration::from_millis(12);
+
+/// Time between two digests for other zones.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Instances of a zone that get a digest while its speaker is not known.
+const DIGEST_TARGETS: usize = 2;
+
+/// How long a digest is passed on within the zone.
+const DIGEST_PASSED_ON: Duration = Duration::from_millis(1000);
 
 /// Longest datagram that is read, in bytes.
-const MOST_BYTES: usize = 16 * 1024;
+const MOST_BYTES: usize = 32 * 1024;
 
 /// Version of the datagrams; others are ignored.
-const VERSION: u16 = 1;
+const VERSION: u16 = 2;
 
-/// What an instance tells its peers.
+/// A datagram.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct Report {
+struct Datagram {
     version: u16,
+    message: Message,
+}
+
+/// What a datagram says.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+enum Message {
+    /// From an instance to those of its zone.
+    Report(Report),
+    /// From the speaker of a zone to other zones.
+    Digest(Digest),
+}
+
+/// What an instance tells the others of its zone.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Report {
     instance: SmolStr,
     incarnation: u64,
+    /// Time since the start of the process, in milliseconds.
+    uptime_ms: u64,
     callers: SmolStr,
     peers: SmolStr,
     zone: SmolStr,
     is_ready: bool,
+    config: Freshness,
+    servers: Freshness,
     /// Tokens charged to each customer since the start.
     charged: Vec<(SmolStr, u64)>,
     /// Tokens reserved at each engine.
     reserved: Vec<(SmolStr, u64)>,
     /// Requests that crashed backend servers, each with how many.
     suspects: Vec<(u64, u32)>,
+    /// Digests of other zones that came to this instance.
+    digests: Vec<Digest>,
+}
+
+/// What the speaker of a zone tells other zones.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Digest {
+    zone: SmolStr,
+    speaker: SmolStr,
+    incarnation: u64,
+    address: SmolStr,
+    size: usize,
+    reachable: usize,
+    ready: Vec<SmolStr>,
+    charged: Vec<(SmolStr, u64)>,
+    reserved: Vec<(SmolStr, u64)>,
+    suspects: Vec<(u64, u32)>,
+}
+
+/// Digests that came to this instance from other zones, to be passed on in its own.
+#[derive(Default)]
+pub struct Received(Vec<(Duration, Digest)>);
+
+impl Received {
+    fn put(&mut self, now: Duration, digest: Digest) {
+        self.0.retain(|(at, d)| {
+            now < *at + DIGEST_PASSED_ON && (d.zone != digest.zone || d.speaker != digest.speaker)
+        });
+        self.0.push((now, digest));
+    }
+
+    fn fresh(&mut self, now: Duration) -> Vec<Digest> {
+        self.0.retain(|(at, _)| now < *at + DIGEST_PASSED_ON);
+        self.0.iter().map(|(_, digest)| digest.clone()).collect()
+    }
 }
 
 /// Sends and receives datagrams for as long as the process runs.
@@ -50,74 +119,149 @@
 pub async fn exchange(node: Rc<Node>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(node.settings().listen.peers).await?);
     tokio::task::spawn_local(receive(node.clone(), socket.clone()));
+    let mut digest_at = Instant::now();
     loop {
-        tell(&node, &socket).await;
-        sleep(INTERVAL).await;
+        tell_zone(&node, &socket).await;
+        if Instant::now() >= digest_at {
+            tell_zones(&node, &socket).await;
+            digest_at = Instant::now() + DIGEST_INTERVAL;
+        }
+        let peers = node.state.borrow().members.zone_size(node.now()) as u32;
+        let interval = MIN_INTERVAL.max(INTERVAL_A_PEER * peers);
+        sleep_until(Instant::now() + interval).await;
     }
 }
 
-async fn tell(node: &Node, socket: &UdpSocket) {
+async fn tell_zone(node: &Node, socket: &UdpSocket) {
     let settings = node.settings();
     let now = node.now();
     let addresses: Vec<SmolStr> = {
         let mut state = node.state.borrow_mut();
         state.share_out(now, &settings);
-        state.members.peer_addresses(now).cloned().collect()
+        state.members.zone_peers(now).cloned().collect()
+    };
+    if !addresses.is_empty() {
+        send(socket, Message::Report(report(node)), &addresses).await;
+    }
+}
+
+async fn tell_zones(node: &Node, socket: &UdpSocket) {
+    let now = node.now();
+    let targets = {
+        let state = node.state.borrow();
+        match state.members.rank(now) {
+            0 => state.members.digest_targets(now, DIGEST_TARGETS),
+            _ => Vec::new(),
+        }
     };
+    if !targets.is_empty() {
+        send(socket, Message::Digest(digest(node)), &targets).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, message: Message, addresses: &[SmolStr]) {
     let mut bytes = Vec::new();
-    if let Err(error) = ciborium::into_writer(&own_report(node), &mut bytes) {
-        log::warn!("a report to peers cannot be encoded: {error}");
+    let datagram = Datagram {
+        version: VERSION,
+        message,
+    };
+    if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
+        log::warn!("a datagram cannot be encoded: {error}");
         return;
     }
     for address in addresses {
-        // The next report makes a lost one good.
+        // The next datagram makes a lost one good.
         if let Err(error) = socket.send_to(&bytes, address.as_str()).await {
-            log::debug!("a report to {address} was not sent: {error}");
+            log::debug!("a datagram to {address} was not sent: {error}");
         }
     }
 }
 
-fn own_report(node: &Node) -> Report {
+fn report(node: &Node) -> Report {
     let settings = node.settings();
+    let now = node.now();
+    let digests = node.received.borrow_mut().fresh(now);
     let state = node.state.borrow();
     let member = own_member(&settings);
-    let now = node.now();
     Report {
-        version: VERSION,
         instance: settings.instance.clone(),
         incarnation: node.incarnation,
+        uptime_ms: now.as_millis() as u64,
         callers: member.callers,
         peers: member.peers,
         zone: member.zone,
-        is_ready: state.is_serving() && state.keys_are_proved(now, &settings),
-        charged: state
-            .quotas
-            .charged()
-            .map(|(customer, tokens)| (customer.clone(), tokens))
-            .collect(),
+        is_ready: state.is_ready(now, &settings),
+        config: state.config_fresh,
+        servers: state.servers_fresh,
+        charged: owned(state.quotas.charged()),
         reserved: state.pool.own_reserved(),
-        suspects: state.poison.suspects().map(|(f, n)| (f.0, n)).collect(),
+        suspects: suspects(&state.poison),
+        digests,
+    }
+}
+
+fn digest(node: &Node) -> Digest {
+    let settings = node.settings();
+    let now = node.now();
+    let state = node.state.borrow();
+    let member = own_member(&settings);
+    let mut ready = state.members.ready_near(now);
+    if state.is_ready(now, &settings) {
+        ready.push(member.callers);
+    }
+    Digest {
+        zone: member.zone,
+        speaker: settings.instance.clone(),
+        incarnation: node.incarnation,
+        address: member.peers,
+        size: state.members.zone_size(now),
+        reachable: state.members.zone_reachable(now),
+        ready,
+        charged: state.quotas.zone_charged(),
+        reserved: state.pool.near_reserved(now),
+        suspects: suspects(&state.poison),
     }
 }
 
+fn owned<'a>(charged: impl Iterator<Item = (&'a SmolStr, u64)>) -> Vec<(SmolStr, u64)> {
+    charged.map(|(name, n)| (name.clone(), n)).collect()
+}
+
+fn suspects(poison: &jacinthlever_routing::PoisonList) -> Vec<(u64, u32)> {
+    poison.suspects().map(|(f, n)| (f.0, n)).collect()
+}
+
 async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MOST_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((length, from)) => match ciborium::from_reader(&buf[..length]) {
-                Ok(report) => take_in(&node, report),
+                Ok(datagram) => take_in(&node, datagram),
                 Err(error) => log::debug!("a datagram from {from} is unreadable: {error}"),
             },
             Err(error) => {
                 log::debug!("no datagram was received: {error}");
-                sleep(INTERVAL).await;
+                sleep(MIN_INTERVAL).await;
             }
         }
     }
 }
 
-fn take_in(node: &Node, report: Report) {
-    if report.version != VERSION || report.instance == node.settings().instance {
+fn take_in(node: &Node, datagram: Datagram) {
+    if datagram.version != VERSION {
+        return;
+    }
+    match datagram.message {
+        Message::Report(report) => take_report(node, report),
+        Message::Digest(digest) => {
+            take_digest(node, &digest);
+            node.received.borrow_mut().put(node.now(), digest);
+        }
+    }
+}
+
+fn take_report(node: &Node, report: Report) {
+    if report.instance == node.settings().instance {
         return;
     }
     let now = node.now();
@@ -132,14 +276,52 @@
         is_ready: report.is_ready,
     };
     let name = report.instance;
-    if state.members.heard(now, &name, member, status) {
-        state.quotas.forget_peer(&name);
+    match state.members.heard(now, &name, member, status) {
+        Heard::Outdated => return,
+        Heard::Restarted => state.quotas.forget_peer(&name),
+        Heard::Known | Heard::New => {}
     }
+    let is_young = Duration::from_millis(report.uptime_ms) < now;
     for (customer, tokens) in &report.charged {
-        state.quotas.heard(now, &name, customer, *tokens);
+        state.quotas.heard(now, &name, customer, *tokens, is_young);
     }
     state.pool.peer_reserved(now, &name, &report.reserved);
-    for (fingerprint, crashes) in report.suspects {
-        state.poison.heard(now, Fingerprint(fingerprint), crashes);
+    state.take_suspects(now, &report.suspects);
+    state.take_freshness(report.config, report.servers);
+    drop(state);
+    node.hinted.notify_waiters();
+    for digest in &report.digests {
+        take_digest(node, digest);
+    }
+}
+
+fn take_digest(node: &Node, digest: &Digest) {
+    let now = node.now();
+    let mut state = node.state.borrow_mut();
+    let said = ZoneDigest {
+        speaker: digest.speaker.clone(),
+        address: digest.address.clone(),
+        size: digest.size,
+        reachable: digest.reachable,
+        ready: digest.ready.clone(),
+    };
+    if !state.members.heard_zone(now, &digest.zone, said) {
+        return;
+    }
+    // A speaker that was started anew counts from zero again.
+    let source = format!("{}/{}", digest.speaker, digest.incarnation);
+    for (customer, tokens) in &digest.charged {
+        state.quotas.heard_zone(now, &source, customer, *tokens);
+    }
+    let pool = &mut state.pool;
+    pool.zone_reserved(now, &digest.zone, &digest.reserved);
+    state.take_suspects(now, &digest.suspects);
+}
+
+impl crate::state::State {
+    fn take_suspects(&mut self, now: Duration, suspects: &[(u64, u32)]) {
+        for (fingerprint, crashes) in suspects {
+            self.poison.heard(now, Fingerprint(*fingerprint), *crashes);
+        }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::Settings;
+use crate::freshness::{Freshness, StoreClock};
 
 /// Margin before a withdrawn key must have stopped working, for the way to a backend server.
 const REVOKE_MARGIN: Duration = Duration::from_millis(700);
@@ -22,10 +23,14 @@
 pub struct State {
     /// Configuration in force.
     pub config: Option<Rc<FleetConfig>>,
-    /// Version of the row that the configuration came from.
-    pub config_row: u64,
-    /// When the configuration was last known to be the newest.
-    pub config_proved: Option<Duration>,
+    /// How new the configuration is.
+    pub config_fresh: Freshness,
+    /// How new the list of backend servers is.
+    pub servers_fresh: Freshness,
+    /// Newest rows that peers know of the configuration and of the servers.
+    pub hinted: (u64, u64),
+    /// The store's clock.
+    pub store_clock: StoreClock,
     /// Backend servers.
     pub pool: ServerPool,
     /// Limits of customers.
@@ -43,15 +48,23 @@
 }
 
 impl State {
+    /// Makes the beliefs of an instance that has just started.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            members: Membership::new(settings.instance.clone(), settings.zone.clone()),
+            ..Self::default()
+        }
+    }
+
     /// Puts a configuration in force, unless a newer one is.
     pub fn apply(&mut self, now: Duration, row: u64, config: FleetConfig) -> bool {
-        if row <= self.config_row {
+        if row <= self.config_fresh.row {
             return false;
         }
         let customers = config.customers.values();
         let quotas = customers.map(|c| (c.name.clone(), c.quota));
         self.quotas.configure(now, quotas);
-        self.config_row = row;
+        self.config_fresh.row = row;
         self.config = Some(Rc::new(config));
         true
     }
@@ -69,7 +82,30 @@
 
     /// Returns how long ago the configuration was known to be the newest.
     pub fn proof_age(&self, now: Duration) -> Option<Duration> {
-        self.config_proved.map(|at| now.saturating_sub(at))
+        self.age(now, self.config_fresh)
+    }
+
+    /// Returns how long ago a copy of a table was known to be the newest.
+    pub fn age(&self, now: Duration, fresh: Freshness) -> Option<Duration> {
+        if fresh.proved_ms == 0 {
+            return None;
+        }
+        let proved = self.store_clock.to_own(fresh.proved_ms)?;
+        Some(now.saturating_sub(proved))
+    }
+
+    /// Takes in how new a peer's copies are: equal copies are proved with the peer's proof.
+    pub fn take_freshness(&mut self, config: Freshness, servers: Freshness) {
+        for (own, peer) in [
+            (&mut self.config_fresh, config),
+            (&mut self.servers_fresh, servers),
+        ] {
+            if own.row == peer.row {
+                own.proved_ms = own.proved_ms.max(peer.proved_ms);
+            }
+        }
+        self.hinted.0 = self.hinted.0.max(config.row);
+        self.hinted.1 = self.hinted.1.max(servers.row);
     }
 
     /// Whether this instance can take requests.
@@ -77,6 +113,11 @@
         self.config.is_some() && !self.is_draining
     }
 
+    /// Whether this instance takes requests of all customers.
+    pub fn is_ready(&self, now: Duration, settings: &Settings) -> bool {
+        self.is_serving() && self.keys_are_proved(now, settings)
+    }
+
     /// Returns the budget of resends to a service.
     pub fn budget(&mut self, settings: &Settings, service: &SmolStr) -> &mut ResendBudget {
         let bounds = &settings.bounds;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,7 +17,7 @@
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
 };
 pub use event_stream::{EventSplitter, StreamEvent};
-pub use membership::{Member, MemberStatus, Membership};
+pub use membership::{Heard, Member, MemberStatus, Membership, ZoneDigest};
 pub use poison::{Fingerprint, PoisonList};
 pub use quota::{QuotaBook, QuotaDecision};
 pub use resend_budget::ResendBudget;
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -31,13 +31,16 @@
 /// The buckets of all customers.
 ///
 /// Every instance keeps the whole bucket of each customer and takes out what it charges itself at
-/// once, and what its peers have charged when it hears of it. While only a part of the fleet hears
-/// each other, the bucket fills by that part, so that the parts together give the whole.
+/// once, and what its peers and the other zones have charged when it hears of it. While only a part
+/// of the fleet hears each other, the bucket fills by that part, so that the parts together give
+/// the whole.
 #[derive(Debug, Default)]
 pub struct QuotaBook {
     buckets: BTreeMap<SmolStr, Bucket>,
-    /// What each peer has charged to each customer, as of its last message.
+    /// What each source has charged to each customer, as of its last message.
     heard: BTreeMap<(SmolStr, SmolStr), u64>,
+    /// What the peers of this zone have charged to each customer since this instance started.
+    near: BTreeMap<SmolStr, u64>,
     share: Share,
 }
 
@@ -114,22 +117,56 @@
 
     /// Returns what this instance has charged to each customer since its start.
     pub fn charged(&self) -> impl Iterator<Item = (&SmolStr, u64)> {
+        self.buckets.iter().map(|(name, b)| (name, b.charged))
+    }
+
+    /// Takes in what a peer of this zone has charged to a customer since the peer's start.
+    ///
+    /// Of a peer that is new here but not new itself, only what it charges from now on counts:
+    /// what it charged before was no business of this instance's bucket.
+    pub fn heard(
+        &mut self,
+        now: Duration,
+        peer: &str,
+        customer: &str,
+        charged: u64,
+        is_young: bool,
+    ) {
+        let change = self.change(peer, customer, charged, is_young);
+        let near = self.near.entry(SmolStr::new(customer)).or_default();
+        *near = near.saturating_add_signed(change);
+        self.debit(now, customer, change);
+    }
+
+    /// Takes in what a whole other zone has charged, as its speaker has counted.
+    pub fn heard_zone(&mut self, now: Duration, speaker: &str, customer: &str, charged: u64) {
+        let change = self.change(speaker, customer, charged, false);
+        self.debit(now, customer, change);
+    }
+
+    /// Returns what this zone has charged to each customer, as this instance has counted.
+    pub fn zone_charged(&self) -> Vec<(SmolStr, u64)> {
+        let own = |name: &SmolStr| self.buckets.get(name).map_or(0, |b| b.charged);
+        let near = |name: &SmolStr| self.near.get(name).copied().unwrap_or(0);
         self.buckets
-            .iter()
-            .filter(|(_, b)| b.charged > 0)
-            .map(|(name, b)| (name, b.charged))
+            .keys()
+            .map(|name| (name.clone(), own(name) + near(name)))
+            .collect()
+    }
+
+    fn change(&mut self, source: &str, customer: &str, charged: u64, is_young: bool) -> i64 {
+        let key = (SmolStr::new(source), SmolStr::new(customer));
+        let before = self.heard.insert(key, charged);
+        let known = before.unwrap_or(if is_young { 0 } else { charged });
+        // A refund at the source makes its count go back.
+        charged as i64 - known as i64
     }
 
-    /// Takes in what a peer has charged to a customer since the peer's start.
-    pub fn heard(&mut self, now: Duration, peer: &str, customer: &str, charged: u64) {
-        let key = (SmolStr::new(peer), SmolStr::new(customer));
-        let before = self.heard.insert(key, charged).unwrap_or(0);
+    fn debit(&mut self, now: Duration, customer: &str, tokens: i64) {
         let share = self.share.0;
         if let Some(bucket) = self.buckets.get_mut(customer) {
             bucket.fill(now, share);
-            // A refund at the peer makes the count go back.
-            bucket.level -= charged as f64 - before as f64;
-            bucket.level = bucket.level.min(bucket.quota.burst);
+            bucket.level = (bucket.level - tokens as f64).min(bucket.quota.burst);
         }
     }
 
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -89,8 +89,8 @@
 /// How long an engine that had no room is passed over while others may have some.
 const FULL_FOR: Duration = Duration::from_millis(80);
 
-/// How long the reservations of a peer are believed without a new message.
-const PEER_HOLDS_FRESH: Duration = Duration::from_millis(1500);
+/// How long the reservations of others are believed without a new message.
+const RESERVATIONS_FRESH: Duration = Duration::from_millis(1500);
 
 /// A backend server, what runs on it, and how it has fared.
 #[derive(Clone, Debug)]
@@ -114,7 +114,9 @@
     /// Requests running and waiting as the server told last, and when.
     told_load: Option<(u32, Duration)>,
     /// Tokens that peers have reserved, each with when it was told.
-    peer_tokens: BTreeMap<SmolStr, (u64, Duration)>,
+    peer_tokens: Told,
+    /// Tokens that the instances of other zones have reserved, each with when it was told.
+    zone_tokens: Told,
 }
 
 impl Server {
@@ -133,6 +135,7 @@
             full_until: Duration::ZERO,
             told_load: None,
             peer_tokens: BTreeMap::new(),
+            zone_tokens: BTreeMap::new(),
         }
     }
 
@@ -167,14 +170,14 @@
         self.told_load = Some((running_and_waiting, now));
     }
 
-    /// Takes in what a peer has reserved here.
-    pub fn peer_reserved(&mut self, now: Duration, peer: SmolStr, tokens: u64) {
-        self.peer_tokens.insert(peer, (tokens, now));
+    /// Takes in what a peer of this zone has reserved here.
+    pub fn peer_reserved(&mut self, now: Duration, peer: &SmolStr, tokens: u64) {
+        replace(&mut self.peer_tokens, now, peer, tokens);
     }
 
-    /// Forgets what a peer has reserved here.
-    pub fn peer_released(&mut self, peer: &str) {
-        self.peer_tokens.remove(peer);
+    /// Takes in what the instances of another zone have reserved here.
+    pub fn zone_reserved(&mut self, now: Duration, zone: &SmolStr, tokens: u64) {
+        replace(&mut self.zone_tokens, now, zone, tokens);
     }
 
     /// Returns the part of calls that failed of late, between 0 and 1.
@@ -212,10 +215,30 @@
         told.max(self.in_flight)
     }
 
-    /// Returns the tokens that are reserved here by this instance and its peers.
+    /// Returns the tokens that are reserved here by all instances, as far as this one knows.
     pub fn reserved_tokens(&self, now: Duration) -> u64 {
-        let peers = self.peer_tokens.values();
-        let fresh = peers.filter(|(_, at)| now < *at + PEER_HOLDS_FRESH);
-        self.own_tokens + fresh.map(|(tokens, _)| tokens).sum::<u64>()
+        self.near_tokens(now) + fresh_sum(&self.zone_tokens, now)
     }
+
+    /// Returns the tokens that are reserved here by the instances of this zone.
+    pub fn near_tokens(&self, now: Duration) -> u64 {
+        self.own_tokens + fresh_sum(&self.peer_tokens, now)
+    }
+}
+
+type Told = BTreeMap<SmolStr, (u64, Duration)>;
+
+fn replace(told: &mut Told, now: Duration, who: &SmolStr, tokens: u64) {
+    if tokens == 0 {
+        told.remove(who);
+    } else {
+        told.insert(who.clone(), (tokens, now));
+    }
+}
+
+fn fresh_sum(told: &Told, now: Duration) -> u64 {
+    let fresh = told
+        .values()
+        .filter(|(_, at)| now < *at + RESERVATIONS_FRESH);
+    fresh.map(|(tokens, _)| tokens).sum()
 }
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -23,6 +23,9 @@
 /// Prompt tokens that reading the KV cache from another zone is worth.
 const OTHER_ZONE_TOKENS: f64 = 4000.0;
 
+/// Part of an engine's memory that the way of an answer from another zone is worth.
+const OTHER_ZONE_MEMORY: f64 = 0.25;
+
 /// Part of an engine's memory that failing all requests is worth.
 const FAILURE_MEMORY: f64 = 3.0;
 
@@ -186,6 +189,7 @@
         &self,
         now: Duration,
         service: &str,
+        zone: &str,
         memory: u64,
         tokens: u64,
         avoid: &[ServerKey],
@@ -198,30 +202,51 @@
             .filter(|(_, s)| s.reserved_tokens(now) + tokens <= memory)
             .map(|(key, s)| {
                 let used = s.reserved_tokens(now) as f64 / memory as f64;
-                (used + FAILURE_MEMORY * usual.penalty(now, s), key)
+                let far = if s.entry.zone == zone {
+                    0.0
+                } else {
+                    OTHER_ZONE_MEMORY
+                };
+                (used + far + FAILURE_MEMORY * usual.penalty(now, s), key)
             })
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         candidates.into_iter().map(|(_, key)| key).collect()
     }
 
-    /// Takes in all that a peer has reserved, replacing what it said before.
+    /// Takes in all that a peer of this zone has reserved, replacing what it said before.
     pub fn peer_reserved(&mut self, now: Duration, peer: &SmolStr, held: &[(SmolStr, u64)]) {
+        let held: BTreeMap<&SmolStr, u64> = held.iter().map(|(id, n)| (id, *n)).collect();
         for server in self.servers.values_mut() {
-            server.peer_released(peer);
+            let tokens = held.get(&server.entry.id).copied().unwrap_or(0);
+            server.peer_reserved(now, peer, tokens);
         }
-        for (id, tokens) in held {
-            if let Some(key) = self.by_id.get(id) {
-                self.servers[*key].peer_reserved(now, peer.clone(), *tokens);
-            }
+    }
+
+    /// Takes in all that the instances of another zone have reserved.
+    pub fn zone_reserved(&mut self, now: Duration, zone: &SmolStr, held: &[(SmolStr, u64)]) {
+        let held: BTreeMap<&SmolStr, u64> = held.iter().map(|(id, n)| (id, *n)).collect();
+        for server in self.servers.values_mut() {
+            let tokens = held.get(&server.entry.id).copied().unwrap_or(0);
+            server.zone_reserved(now, zone, tokens);
         }
     }
 
     /// Returns what this instance has reserved at each server.
     pub fn own_reserved(&self) -> Vec<(SmolStr, u64)> {
-        let servers = self.servers.values().filter(|s| s.own_tokens > 0);
+        self.reserved(|s| s.own_tokens)
+    }
+
+    /// Returns what the instances of this zone have reserved at each server.
+    pub fn near_reserved(&self, now: Duration) -> Vec<(SmolStr, u64)> {
+        self.reserved(|s| s.near_tokens(now))
+    }
+
+    fn reserved(&self, tokens: impl Fn(&Server) -> u64) -> Vec<(SmolStr, u64)> {
+        let servers = self.servers.values();
         servers
-            .map(|s| (s.entry.id.clone(), s.own_tokens))
+            .map(|s| (s.entry.id.clone(), tokens(s)))
+            .filter(|(_, tokens)| *tokens > 0)
             .collect()
     }
 
--- /dev/null
+++ b/crates/routing/tests/quotas.rs
@@ -0,0 +1,112 @@
+//! Limits of customers over several instances.
+
+use std::time::Duration;
+
+use jacinthlever_routing::{Quota, QuotaBook, QuotaDecision};
+use smol_str::SmolStr;
+
+const QUOTA: Quota = Quota {
+    rate: 1_000.0,
+    burst: 2_000.0,
+    plain_tokens: 200,
+};
+
+fn book(now: Duration) -> QuotaBook {
+    let mut book = QuotaBook::default();
+    let customer = (SmolStr::new("crews"), Some(QUOTA));
+    book.configure(now, [customer].into_iter());
+    book
+}
+
+fn charges(book: &mut QuotaBook, now: Duration, tokens: u64) -> bool {
+    book.charge(now, "crews", tokens) == QuotaDecision::Charged
+}
+
+#[test]
+fn a_customer_gets_its_burst_and_then_its_rate() {
+    let mut book = book(Duration::ZERO);
+    assert!(charges(&mut book, Duration::ZERO, 2_000));
+    assert!(!charges(&mut book, Duration::from_millis(400), 500));
+    assert!(charges(&mut book, Duration::from_millis(500), 500));
+}
+
+#[test]
+fn an_instance_that_starts_late_does_not_charge_what_its_peers_did_before() {
+    let mut book = book(Duration::ZERO);
+    book.heard(
+        Duration::from_millis(100),
+        "peer",
+        "crews",
+        1_000_000,
+        false,
+    );
+    assert!(charges(&mut book, Duration::from_millis(200), 2_000));
+}
+
+#[test]
+fn what_a_known_peer_charges_counts() {
+    let mut book = book(Duration::ZERO);
+    book.heard(Duration::ZERO, "peer", "crews", 1_000_000, false);
+    book.heard(Duration::ZERO, "peer", "crews", 1_002_000, false);
+    assert!(!charges(&mut book, Duration::ZERO, 100));
+}
+
+#[test]
+fn all_that_a_peer_has_charged_since_it_started_counts_if_it_started_later() {
+    let mut book = book(Duration::ZERO);
+    book.heard(Duration::ZERO, "peer", "crews", 2_000, true);
+    assert!(!charges(&mut book, Duration::ZERO, 100));
+}
+
+#[test]
+fn a_peer_that_starts_anew_is_counted_from_zero() {
+    let mut book = book(Duration::ZERO);
+    book.heard(Duration::ZERO, "peer", "crews", 500_000, false);
+    book.forget_peer("peer");
+    book.heard(Duration::ZERO, "peer", "crews", 2_000, true);
+    assert!(!charges(&mut book, Duration::ZERO, 100));
+}
+
+#[test]
+fn a_refund_gives_the_tokens_back_here_and_at_peers() {
+    let mut here = book(Duration::ZERO);
+    let mut there = book(Duration::ZERO);
+    there.heard(Duration::ZERO, "here", "crews", 0, true);
+    assert!(charges(&mut here, Duration::ZERO, 2_000));
+    there.heard(Duration::ZERO, "here", "crews", 2_000, true);
+    here.refund("crews", 2_000);
+    there.heard(Duration::ZERO, "here", "crews", 0, true);
+    assert!(charges(&mut here, Duration::ZERO, 2_000));
+    assert!(charges(&mut there, Duration::ZERO, 2_000));
+}
+
+#[test]
+fn parts_of_a_fleet_that_do_not_hear_each_other_share_the_rate() {
+    let seconds = 20;
+    let mut total = 0;
+    for part in [0.5, 0.5] {
+        let mut book = book(Duration::ZERO);
+        book.set_share(Duration::ZERO, part);
+        for ms in (0..seconds * 1000).step_by(50) {
+            if charges(&mut book, Duration::from_millis(ms), 100) {
+                total += 100;
+            }
+        }
+    }
+    // Each part has a bucket of its own, which was full when the fleet fell apart.
+    assert!(total <= 1_000 * seconds + 2 * 2_000, "{total} tokens");
+}
+
+#[test]
+fn a_lower_limit_holds_at_once() {
+    let mut book = book(Duration::ZERO);
+    let lower = Quota {
+        rate: 100.0,
+        burst: 200.0,
+        plain_tokens: 200,
+    };
+    let customer = (SmolStr::new("crews"), Some(lower));
+    book.configure(Duration::ZERO, [customer].into_iter());
+    assert!(charges(&mut book, Duration::ZERO, 200));
+    assert!(!charges(&mut book, Duration::from_millis(500), 100));
+}
