The mix of stages is planned and ordered; prompts read by decode engines only where short

Kept: one order a fleet by a conditional row, expected times of prefills from reserved tokens and learned pace, every further send out of the budget.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -25,17 +25,33 @@
 /// Engines that are asked for room in one round.
 const ASKED_AT_ONCE: usize = 3;
 
-/// Longest time for a prefill, beyond which another engine is asked.
-const PREFILL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time beyond the expected one after which a prefill counts as failed.
+const PREFILL_OVERDUE: Duration = Duration::from_millis(500);
+
+/// Part of the latency target after which a prefill is too late, so that a decode engine reads the
+/// prompt by itself if that is no harm to its other answers.
+const PREFILL_BY: f64 = 0.85;
+
+/// Prompt tokens that a decode engine reads by itself in a millisecond.
+const SELF_READ_TOKENS_PER_MS: f64 = 12.0;
+
+/// Part of the pause target for which a decode engine may hold its other answers up.
+const SELF_READ_STALL: f64 = 0.6;
+
+/// Prompts that a decode engine reads by itself at the same time.
+const MOST_SELF_READS: u32 = 1;
 
 /// Prefills of one request that are tried.
-const MOST_PREFILLS: usize = 3;
+const MOST_PREFILLS: usize = 2;
 
 /// Rounds of reserving, reading and decoding for one attempt of a caller.
 const MOST_ROUNDS: u32 = 3;
 
 /// Part by which the caller's estimate of the output is raised for the reservation.
-const ESTIMATE_MARGIN: f64 = 1.0;
+const ESTIMATE_MARGIN: f64 = 1.4;
+
+/// Part by which an answer that is longer than estimated should still grow.
+const GROWTH: f64 = 1.15;
 
 /// A generation on its way to its first event.
 pub struct Generation {
@@ -78,6 +94,7 @@
     req: Rc<CallerRequest>,
     spec: EngineSpec,
 ) -> Result<Response<AnswerBody>, Verdict> {
+    node.last_generation.set(Some(node.now()));
     let mut generation = Generation {
         node,
         req,
@@ -107,6 +124,11 @@
         &self.node
     }
 
+    /// Returns the most tokens that one event of the answer carries.
+    pub fn tokens_per_event(&self) -> u64 {
+        u64::from(self.spec.tokens_per_event)
+    }
+
     /// Returns the request.
     pub fn req(&self) -> &Rc<CallerRequest> {
         &self.req
@@ -149,7 +171,10 @@
 
     /// Runs the request, from after `last_event` on, until a decode engine has taken it.
     pub async fn decode(&mut self, last_event: Option<u64>) -> Result<Decode, Verdict> {
-        for _ in 0..MOST_ROUNDS {
+        for round in 0..MOST_ROUNDS {
+            if round > 0 && !self.may_send() {
+                break;
+            }
             let mut room = self.reserve().await?;
             self.steps.reserved = self.node.now();
             let kv = self.prefill(&room).await?;
@@ -266,24 +291,31 @@
         None
     }
 
-    /// Has the prompt read; `None` if no engine can, and the decode engine reads it by itself.
+    /// Has the prompt read; `None` if the decode engine should read it by itself.
     async fn prefill(&mut self, room: &Room) -> Result<Option<Kv>, Verdict> {
         let zone = room.zone();
+        let tokens = self.prompt_tokens();
         let mut tried = Vec::new();
         while tried.len() < MOST_PREFILLS {
             let now = self.node.now();
-            let picked =
-                self.node
-                    .state
-                    .borrow()
-                    .pool
-                    .pick_prefill(now, &self.req.service, &zone, &tried);
-            let Some(server) = picked else { break };
+            let picked = self.node.state.borrow().pool.pick_prefill(
+                now,
+                &self.req.service,
+                &zone,
+                tokens,
+                &tried,
+            );
+            let Some((server, expected)) = picked else {
+                break;
+            };
+            if self.is_too_late(now + expected) && self.may_self_read(room) {
+                break;
+            }
             if !self.may_send() {
                 break;
             }
             tried.push(server);
-            match self.read_prompt(server).await {
+            match self.read_prompt(server, expected).await {
                 Ok(kv) => return Ok(Some(kv)),
                 Err(WITHDRAWN) => return Err(self.refusal("key is not proved")),
                 Err(fault) => note_fault(&self.node, &self.req, server, fault),
@@ -292,6 +324,24 @@
         Ok(None)
     }
 
+    /// Whether a prompt that has been read then leaves no time for its first event.
+    fn is_too_late(&self, read: Duration) -> bool {
+        let usable = self.req.route.target_latency.mul_f64(PREFILL_BY);
+        read > self.req.arrived + usable
+    }
+
+    /// Whether the decode engine may read the prompt without holding its other answers up long.
+    fn may_self_read(&self, room: &Room) -> bool {
+        let stall_ms = self.prompt_tokens() as f64 / SELF_READ_TOKENS_PER_MS;
+        let allowed = self.req.route.pause_target.mul_f64(SELF_READ_STALL);
+        stall_ms <= allowed.as_secs_f64() * 1000.0 && room.may_self_read()
+    }
+
+    /// Returns the tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u64 {
+        self.req.headers.generation.map_or(0, |g| g.prompt_tokens)
+    }
+
     /// Takes a send out of the budget; the first one is free.
     fn may_send(&mut self) -> bool {
         self.sends += 1;
@@ -304,18 +354,21 @@
         state.budget(&settings, &self.req.service).spend(now)
     }
 
-    async fn read_prompt(&self, server: ServerKey) -> Result<Kv, SendFault> {
-        let tokens = self.req.headers.generation.map_or(0, |g| g.prompt_tokens);
+    async fn read_prompt(&self, server: ServerKey, expected: Duration) -> Result<Kv, SendFault> {
+        let tokens = self.prompt_tokens();
         let reading = Room::plan(&self.node, server, tokens);
+        let began = self.node.now();
+        let ahead = reading.tokens_here(began);
         let extra = ServerHeaders {
             prefill_only: true,
             priority: Some(self.req.priority),
             ..ServerHeaders::default()
         };
-        let within = PREFILL_TIMEOUT.min(self.req.time_left(self.node.now()));
+        let within = (expected * 2 + PREFILL_OVERDUE).min(self.req.time_left(began));
         let exchange = Exchange::send(&self.node, server, &self.req, extra, within).await?;
         let status = exchange.status;
         let body = exchange.whole(MOST_WHOLE).await?;
+        reading.was_read(ahead, self.node.now().saturating_sub(began));
         drop(reading);
         if status != StatusCode::OK {
             return Err(SendFault::Lost("prefill failed"));
@@ -341,6 +394,9 @@
             last_event: last_event.or(self.req.headers.last_event),
             ..ServerHeaders::default()
         };
+        if kv.is_none() {
+            room.self_reads();
+        }
         let within = self.req.time_left(self.node.now());
         let before = self.req.may_have_run.replace(true);
         let sent = Exchange::send(&self.node, room.server, &self.req, extra, within).await;
@@ -364,6 +420,7 @@
     /// The engine.
     pub server: ServerKey,
     tokens: u64,
+    is_self_reading: bool,
     /// Reservation at the engine that has not been used yet.
     pub hold: Option<SmolStr>,
 }
@@ -377,10 +434,63 @@
             node: node.clone(),
             server,
             tokens,
+            is_self_reading: false,
             hold: None,
         }
     }
 
+    /// Tokens that are reserved at the engine by all instances.
+    fn tokens_here(&self, now: Duration) -> u64 {
+        let state = self.node.state.borrow();
+        let server = state.pool.get(self.server);
+        server.map_or(self.tokens, |s| s.reserved_tokens(now))
+    }
+
+    fn was_read(&self, tokens: u64, took: Duration) {
+        let mut state = self.node.state.borrow_mut();
+        if let Some(server) = state.pool.get_mut(self.server) {
+            server.read_prompt(tokens, took);
+        }
+    }
+
+    fn may_self_read(&self) -> bool {
+        let state = self.node.state.borrow();
+        let server = state.pool.get(self.server);
+        server.is_some_and(|s| s.self_reads < MOST_SELF_READS)
+    }
+
+    /// Raises the reservation to what the answer may come to need, now that it is `output` long.
+    pub fn grow(&mut self, prompt_tokens: u64, output: u64) {
+        let tokens = prompt_tokens + (output as f64 * GROWTH) as u64;
+        if tokens <= self.tokens {
+            return;
+        }
+        let mut state = self.node.state.borrow_mut();
+        if let Some(server) = state.pool.get_mut(self.server) {
+            server.own_tokens += tokens - self.tokens;
+            self.tokens = tokens;
+        }
+    }
+
+    /// Counts that the engine reads the prompt by itself.
+    pub fn self_reads(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        if let Some(server) = state.pool.get_mut(self.server) {
+            server.self_reads += 1;
+            self.is_self_reading = true;
+        }
+    }
+
+    /// Takes in that the first event has come, so the prompt has been read.
+    pub fn has_read(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        if std::mem::take(&mut self.is_self_reading)
+            && let Some(server) = state.pool.get_mut(self.server)
+        {
+            server.self_reads = server.self_reads.saturating_sub(1);
+        }
+    }
+
     fn zone(&self) -> SmolStr {
         let state = self.node.state.borrow();
         let server = state.pool.get(self.server);
@@ -390,6 +500,7 @@
 
 impl Drop for Room {
     fn drop(&mut self) {
+        self.has_read();
         if let Some(s) = self.node.state.borrow_mut().pool.get_mut(self.server) {
             s.own_tokens = s.own_tokens.saturating_sub(self.tokens);
         }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::node::Node;
-use crate::{Adapter, EventCode, Settings, Table, callers, directory, drain, feeds, peers};
+use crate::{Adapter, EventCode, Settings, Table, callers, directory, drain, feeds, peers, stages};
 
 /// Pause between two rounds of forgetting what is out of date.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
@@ -61,6 +61,7 @@
         spawn_local(feeds::follow(node.clone(), Table::Config, "config"));
         spawn_local(feeds::follow(node.clone(), Table::Servers, "servers"));
         spawn_local(feeds::join(node.clone()));
+        spawn_local(stages::keep(node.clone()));
         spawn_local(sweep(node.clone()));
         let (directory_at, readiness_at) = (listen.directory, listen.readiness);
         let questions = [
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -38,6 +38,8 @@
     pub hinted: Notify,
     /// Told once when the process begins to stop.
     pub drain: Notify,
+    /// When a generation last arrived here.
+    pub last_generation: Cell<Option<Duration>>,
     /// Requests that are not answered in full yet.
     pub in_flight: Cell<usize>,
     /// Start of the process, in milliseconds of Unix time.
@@ -69,6 +71,7 @@
             received: RefCell::default(),
             hinted: Notify::new(),
             drain: Notify::new(),
+            last_generation: Cell::new(None),
             in_flight: Cell::new(0),
             incarnation,
             random: Cell::new(u64::from_le_bytes(word) | 1),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,34 @@
     pub store: StoreSettings,
     /// Bounds that the operators promise.
     pub bounds: Bounds,
+    /// What a usual generation asks of engines.
+    #[serde(default)]
+    pub planning: Planning,
+}
+
+/// What a usual generation asks of engines; the mix of stages is planned for it.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Planning {
+    /// Tokens of the prompt.
+    pub prompt_tokens: f64,
+    /// Tokens of the answer.
+    pub output_tokens: f64,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub read_tokens_per_ms: f64,
+    /// Milliseconds between two tokens of an answer.
+    pub ms_per_token: f64,
+}
+
+impl Default for Planning {
+    fn default() -> Self {
+        Self {
+            prompt_tokens: 3200.0,
+            output_tokens: 1050.0,
+            read_tokens_per_ms: 30.0,
+            ms_per_token: 3.5,
+        }
+    }
 }
 
 /// Addresses that an instance listens on.
@@ -208,6 +236,11 @@
                 "bounds.directory_ttl_s",
                 "more than 0",
             ),
+            (
+                self.planning.is_positive(),
+                "planning",
+                "figures of more than 0",
+            ),
             (
                 self.listen.has_own_ports(),
                 "listen",
@@ -221,6 +254,18 @@
     }
 }
 
+impl Planning {
+    fn is_positive(&self) -> bool {
+        let figures = [
+            self.prompt_tokens,
+            self.output_tokens,
+            self.read_tokens_per_ms,
+            self.ms_per_token,
+        ];
+        figures.into_iter().all(|figure| figure > 0.0)
+    }
+}
+
 impl Listen {
     fn has_own_ports(&self) -> bool {
         let tcp = [self.callers, self.directory, self.readiness, self.metrics];
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -31,6 +31,8 @@
     ready: Option<Bytes>,
     last_event: Option<u64>,
     has_event: bool,
+    /// Tokens of output that have come, at most.
+    output_tokens: u64,
     is_over: bool,
 }
 
@@ -47,6 +49,7 @@
             ready: None,
             last_event: None,
             has_event: false,
+            output_tokens: 0,
             is_over: false,
         };
         match pump.next().await {
@@ -57,7 +60,8 @@
                 return Err(Verdict::lost("engine gave no answer"));
             }
         }
-        if let Some(decode) = &pump.decode {
+        if let Some(decode) = &mut pump.decode {
+            decode.room.has_read();
             pump.generation.note_first_event(decode.exchange.server);
         }
         Ok(pump)
@@ -138,8 +142,13 @@
         for event in events {
             self.has_event = true;
             self.last_event = event.id.or(self.last_event);
+            self.output_tokens += self.generation.tokens_per_event();
             whole.extend_from_slice(&event.bytes);
         }
+        if let Some(decode) = &mut self.decode {
+            let prompt = self.generation.prompt_tokens();
+            decode.room.grow(prompt, self.output_tokens);
+        }
         Some(whole.into())
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 mod room;
 mod server;
 mod server_pool;
+mod stage_plan;
 
 pub use config::{
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
@@ -24,3 +25,4 @@
 pub use room::{RoomPolicy, RoomWait};
 pub use server::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
 pub use server_pool::ServerPool;
+pub use stage_plan::{EngineProfile, StageChange, StagePlan};
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -195,6 +195,12 @@
             .count()
     }
 
+    /// Whether this instance's zone is the first of those that are heard.
+    pub fn is_first_zone(&self, now: Duration) -> bool {
+        let heard = self.zones.iter().filter(|(_, z)| z.is_fresh(now));
+        heard.map(|(zone, _)| zone).all(|zone| self.zone < *zone)
+    }
+
     /// Returns the addresses for callers of the instances that take requests, this one left out.
     pub fn ready(&self, now: Duration) -> Vec<SmolStr> {
         let near = self
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -77,6 +77,9 @@
 /// Weight of one answer in the average of times.
 const TIME_WEIGHT: f64 = 0.15;
 
+/// Time to read a token of a prompt, in milliseconds, of an engine that has not read any yet.
+const USUAL_READ_PACE: f64 = 0.033;
+
 /// Pause after a server did not answer at all; doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 
@@ -101,6 +104,8 @@
     pub in_flight: u32,
     /// Tokens reserved or being read for requests of this instance.
     pub own_tokens: u64,
+    /// Prompts of this instance that a decode engine is reading by itself.
+    pub self_reads: u32,
     /// Set while the registration has lapsed without notice.
     pub lapsed: Option<Duration>,
     /// Average of failures, and when it was last changed.
@@ -108,6 +113,8 @@
     failures_at: Duration,
     /// Average time to the head of an answer, in seconds.
     time: Option<f64>,
+    /// Average time to read a token of a prompt, in milliseconds.
+    read_pace: Option<f64>,
     paused_until: Duration,
     pause: Duration,
     full_until: Duration,
@@ -126,10 +133,12 @@
             entry,
             in_flight: 0,
             own_tokens: 0,
+            self_reads: 0,
             lapsed: None,
             failures: 0.0,
             failures_at: Duration::ZERO,
             time: None,
+            read_pace: None,
             paused_until: Duration::ZERO,
             pause: Duration::ZERO,
             full_until: Duration::ZERO,
@@ -165,6 +174,20 @@
         self.failures_at = now;
     }
 
+    /// Takes in how long it took to read a prompt of `tokens`, those before it included.
+    pub fn read_prompt(&mut self, tokens: u64, took: Duration) {
+        let pace = took.as_secs_f64() * 1000.0 / tokens.max(1) as f64;
+        let before = self.read_pace.unwrap_or(USUAL_READ_PACE);
+        self.read_pace = Some(before + TIME_WEIGHT * (pace - before));
+    }
+
+    /// Returns how long it should take until a prompt of `tokens` has been read here.
+    pub fn expected_read(&self, now: Duration, tokens: u64) -> Duration {
+        let pace = self.read_pace.unwrap_or(USUAL_READ_PACE);
+        let ms = pace * (self.reserved_tokens(now) + tokens) as f64;
+        Duration::from_secs_f64(ms / 1000.0)
+    }
+
     /// Takes in the load that the server told with an answer.
     pub fn told_load(&mut self, now: Duration, running_and_waiting: u32) {
         self.told_load = Some((running_and_waiting, now));
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -20,8 +20,11 @@
 /// Load that a server which does not answer is worth, so that it goes last.
 const PAUSED: f64 = 50.0;
 
-/// Prompt tokens that reading the KV cache from another zone is worth.
-const OTHER_ZONE_TOKENS: f64 = 4000.0;
+/// Seconds of waiting that a prefill in another zone is worth, whose KV cache has a longer way.
+const OTHER_ZONE_READ: f64 = 0.12;
+
+/// Seconds of waiting that certain failure of a prefill is worth.
+const FAILURE_READ: f64 = 2.0;
 
 /// Part of an engine's memory that the way of an answer from another zone is worth.
 const OTHER_ZONE_MEMORY: f64 = 0.25;
@@ -160,28 +163,31 @@
             .map(|(key, _)| key)
     }
 
-    /// Picks the engine that should have read a prompt soonest.
+    /// Picks the engine that should have read a prompt of `tokens` soonest, with the time that it
+    /// should take.
     pub fn pick_prefill(
         &self,
         now: Duration,
         service: &str,
         zone: &str,
+        tokens: u64,
         avoid: &[ServerKey],
-    ) -> Option<ServerKey> {
+    ) -> Option<(ServerKey, Duration)> {
         let usual = self.usual(now, service);
         let cost = |s: &Server| {
             let other_zone = if s.entry.zone == zone {
                 0.0
             } else {
-                OTHER_ZONE_TOKENS
+                OTHER_ZONE_READ
             };
-            let waiting = s.reserved_tokens(now) as f64;
-            waiting + other_zone + 4.0 * OTHER_ZONE_TOKENS * usual.penalty(now, s)
+            let failing = FAILURE_READ * usual.excess_failures(now, s);
+            s.expected_read(now, tokens).as_secs_f64() + other_zone + failing
         };
         self.of(service)
             .filter(|(key, s)| s.entry.stage == Some(EngineStage::Prefill) && !avoid.contains(key))
+            .filter(|(_, s)| !s.is_paused(now))
             .min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))
-            .map(|(key, _)| key)
+            .map(|(key, s)| (key, s.expected_read(now, tokens)))
     }
 
     /// Returns the decode engines that should have room for `tokens`, the best first.
@@ -250,6 +256,13 @@
             .collect()
     }
 
+    /// Marks an engine as changing its stage: it gets no work until its registration changes.
+    pub fn changes_stage(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.entry.stage = None;
+        }
+    }
+
     /// Marks a server as leaving, as it said itself.
     pub fn drains(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -275,9 +288,12 @@
 
 impl Usual {
     fn penalty(&self, now: Duration, server: &Server) -> f64 {
-        let excess = (server.failure_rate(now) - self.failure_rate).max(0.0);
         let paused = if server.is_paused(now) { PAUSED } else { 0.0 };
-        paused + FAILURE * excess + self.slowness(server)
+        paused + FAILURE * self.excess_failures(now, server) + self.slowness(server)
+    }
+
+    fn excess_failures(&self, now: Duration, server: &Server) -> f64 {
+        (server.failure_rate(now) - self.failure_rate).max(0.0)
     }
 
     fn slowness(&self, server: &Server) -> f64 {
