--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use jacinthlever_routing::{EngineSpec, Outcome, RoomPolicy, RoomWait, ServerKey};
+use jacinthlever_routing::{EngineSpec, Outcome, Pick, RoomPolicy, RoomWait, ServerKey};
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
@@ -261,14 +261,13 @@
 
     async fn ask_engines(&mut self) -> Option<Room> {
         let tokens = self.needed_tokens();
-        let candidates = self.node.state.borrow().pool.decode_candidates(
-            self.node.now(),
-            &self.req.service,
-            &self.node.settings().zone,
-            self.spec.kv_tokens,
-            tokens,
-            &self.avoid,
-        );
+        let zone = self.node.settings().zone.clone();
+        let pick = self.pick(&zone, &self.avoid);
+        let memory = self.spec.kv_tokens;
+        let draw = || self.node.draw();
+        let state = self.node.state.borrow();
+        let candidates = state.pool.decode_candidates(&pick, memory, tokens, draw);
+        drop(state);
         for server in candidates.into_iter().take(ASKED_AT_ONCE) {
             let mut room = Room::plan(&self.node, server, tokens);
             let dialect = self.node.adapter.servers;
@@ -297,14 +296,12 @@
         let tokens = self.prompt_tokens();
         let mut tried = Vec::new();
         while tried.len() < MOST_PREFILLS {
-            let now = self.node.now();
-            let picked = self.node.state.borrow().pool.pick_prefill(
-                now,
-                &self.req.service,
-                &zone,
-                tokens,
-                &tried,
-            );
+            let pick = self.pick(&zone, &tried);
+            let now = pick.now;
+            let draw = || self.node.draw();
+            let state = self.node.state.borrow();
+            let picked = state.pool.pick_prefill(&pick, tokens, draw);
+            drop(state);
             let Some((server, expected)) = picked else {
                 break;
             };
@@ -324,6 +321,15 @@
         Ok(None)
     }
 
+    fn pick<'a>(&'a self, zone: &'a str, avoid: &'a [ServerKey]) -> Pick<'a> {
+        Pick {
+            now: self.node.now(),
+            service: &self.req.service,
+            zone,
+            avoid,
+        }
+    }
+
     /// Whether a prompt that has been read then leaves no time for its first event.
     fn is_too_late(&self, read: Duration) -> bool {
         let usable = self.req.route.target_latency.mul_f64(PREFILL_BY);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -8,7 +8,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, Response, StatusCode};
-use jacinthlever_routing::{RouteKind, ServerKey};
+use jacinthlever_routing::{Pick, RouteKind, ServerKey};
 use tokio::time::sleep;
 
 use crate::ServerHeaders;
@@ -106,9 +106,12 @@
         let now = self.node.now();
         let settings = self.node.settings();
         let mut state = self.node.state.borrow_mut();
-        let picked = state
-            .pool
-            .pick_plain(now, &self.req.service, &settings.zone, &self.tried);
+        let picked = state.pool.pick_plain(&Pick {
+            now,
+            service: &self.req.service,
+            zone: &settings.zone,
+            avoid: &self.tried,
+        });
         let Some(server) = picked else { return false };
         let is_resend = !self.tried.is_empty();
         let budget = state.budget(&settings, &self.req.service);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,5 +24,5 @@
 pub use resend_budget::ResendBudget;
 pub use room::{RoomPolicy, RoomWait};
 pub use server::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
-pub use server_pool::ServerPool;
+pub use server_pool::{Pick, ServerPool};
 pub use stage_plan::{EngineProfile, StageChange, StagePlan};
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -29,12 +29,42 @@
 /// Part of an engine's memory that the way of an answer from another zone is worth.
 const OTHER_ZONE_MEMORY: f64 = 0.25;
 
+/// Part of an engine's memory by which instances draw differently, since all of them see the same
+/// engine as the best until they hear of each other.
+const SPREAD_MEMORY: f64 = 0.12;
+
+/// Seconds of waiting by which instances draw differently, for the same reason.
+const SPREAD_READ: f64 = 0.03;
+
 /// Part of an engine's memory that failing all requests is worth.
 const FAILURE_MEMORY: f64 = 3.0;
 
 /// Ratio of a server's times to its siblings' from which it counts as slow.
 const SLOW_RATIO: f64 = 1.8;
 
+/// For whom a server is picked.
+#[derive(Clone, Copy, Debug)]
+pub struct Pick<'a> {
+    /// Time.
+    pub now: Duration,
+    /// Service.
+    pub service: &'a str,
+    /// Availability zone that the work comes from.
+    pub zone: &'a str,
+    /// Servers that are not to be picked.
+    pub avoid: &'a [ServerKey],
+}
+
+impl Pick<'_> {
+    fn if_far(&self, server: &Server, cost: f64) -> f64 {
+        if server.entry.zone == self.zone {
+            0.0
+        } else {
+            cost
+        }
+    }
+}
+
 /// The backend servers of all services.
 #[derive(Debug, Default)]
 pub struct ServerPool {
@@ -139,87 +169,74 @@
     }
 
     /// Picks the server of a plain service that should answer soonest.
-    pub fn pick_plain(
-        &self,
-        now: Duration,
-        service: &str,
-        zone: &str,
-        avoid: &[ServerKey],
-    ) -> Option<ServerKey> {
-        let usual = self.usual(now, service);
+    pub fn pick_plain(&self, pick: &Pick<'_>) -> Option<ServerKey> {
+        let usual = self.usual(pick.now, pick.service);
         let cost = |s: &Server| {
             let slots = f64::from(s.entry.slots.max(1));
-            let load = f64::from(s.load(now)) / slots;
-            let other_zone = if s.entry.zone == zone {
-                0.0
-            } else {
-                OTHER_ZONE
-            };
-            load + other_zone + usual.penalty(now, s)
+            let load = f64::from(s.load(pick.now)) / slots;
+            load + pick.if_far(s, OTHER_ZONE) + usual.penalty(pick.now, s)
         };
-        self.of(service)
-            .filter(|(key, _)| !avoid.contains(key))
+        self.of(pick.service)
+            .filter(|(key, _)| !pick.avoid.contains(key))
             .min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))
             .map(|(key, _)| key)
     }
 
     /// Picks the engine that should have read a prompt of `tokens` soonest, with the time that it
-    /// should take.
+    /// should take; `draw` gives uniform random numbers below 1.
     pub fn pick_prefill(
         &self,
-        now: Duration,
-        service: &str,
-        zone: &str,
+        pick: &Pick<'_>,
         tokens: u64,
-        avoid: &[ServerKey],
+        mut draw: impl FnMut() -> f64,
     ) -> Option<(ServerKey, Duration)> {
-        let usual = self.usual(now, service);
-        let cost = |s: &Server| {
-            let other_zone = if s.entry.zone == zone {
-                0.0
-            } else {
-                OTHER_ZONE_READ
-            };
-            let failing = FAILURE_READ * usual.excess_failures(now, s);
-            s.expected_read(now, tokens).as_secs_f64() + other_zone + failing
+        let usual = self.usual(pick.now, pick.service);
+        let mut cost = |s: &Server| {
+            let failing = FAILURE_READ * usual.excess_failures(pick.now, s);
+            let reading = s.expected_read(pick.now, tokens).as_secs_f64();
+            reading + pick.if_far(s, OTHER_ZONE_READ) + failing + SPREAD_READ * draw()
         };
-        self.of(service)
-            .filter(|(key, s)| s.entry.stage == Some(EngineStage::Prefill) && !avoid.contains(key))
-            .filter(|(_, s)| !s.is_paused(now))
-            .min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))
-            .map(|(key, s)| (key, s.expected_read(now, tokens)))
+        self.stage(pick, EngineStage::Prefill)
+            .filter(|(_, s)| !s.is_paused(pick.now))
+            .map(|(key, s)| (cost(s), key, s))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, key, s)| (key, s.expected_read(pick.now, tokens)))
     }
 
-    /// Returns the decode engines that should have room for `tokens`, the best first.
+    /// Returns the decode engines that should have room for `tokens` in their `memory`, the best
+    /// first; `draw` gives uniform random numbers below 1.
     pub fn decode_candidates(
         &self,
-        now: Duration,
-        service: &str,
-        zone: &str,
+        pick: &Pick<'_>,
         memory: u64,
         tokens: u64,
-        avoid: &[ServerKey],
+        mut draw: impl FnMut() -> f64,
     ) -> Vec<ServerKey> {
-        let usual = self.usual(now, service);
+        let usual = self.usual(pick.now, pick.service);
+        let mut cost = |s: &Server| {
+            let used = s.reserved_tokens(pick.now) as f64 / memory as f64;
+            let failing = FAILURE_MEMORY * usual.penalty(pick.now, s);
+            used + pick.if_far(s, OTHER_ZONE_MEMORY) + failing + SPREAD_MEMORY * draw()
+        };
         let mut candidates: Vec<(f64, ServerKey)> = self
-            .of(service)
-            .filter(|(key, s)| s.entry.stage == Some(EngineStage::Decode) && !avoid.contains(key))
-            .filter(|(_, s)| !s.is_paused(now) && !s.is_full(now))
-            .filter(|(_, s)| s.reserved_tokens(now) + tokens <= memory)
-            .map(|(key, s)| {
-                let used = s.reserved_tokens(now) as f64 / memory as f64;
-                let far = if s.entry.zone == zone {
-                    0.0
-                } else {
-                    OTHER_ZONE_MEMORY
-                };
-                (used + far + FAILURE_MEMORY * usual.penalty(now, s), key)
-            })
+            .stage(pick, EngineStage::Decode)
+            .filter(|(_, s)| !s.is_paused(pick.now) && !s.is_full(pick.now))
+            .filter(|(_, s)| s.reserved_tokens(pick.now) + tokens <= memory)
+            .map(|(key, s)| (cost(s), key))
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         candidates.into_iter().map(|(_, key)| key).collect()
     }
 
+    fn stage<'a>(
+        &'a self,
+        pick: &'a Pick<'_>,
+        stage: EngineStage,
+    ) -> impl Iterator<Item = (ServerKey, &'a Server)> {
+        self.of(pick.service)
+            .filter(move |(key, s)| s.entry.stage == Some(stage) && !pick.avoid.contains(key))
+    }
+
     /// Takes in all that a peer of this zone has reserved, replacing what it said before.
     pub fn peer_reserved(&mut self, now: Duration, peer: &SmolStr, held: &[(SmolStr, u64)]) {
         let held: BTreeMap<&SmolStr, u64> = held.iter().map(|(id, n)| (id, *n)).collect();
