--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -167,6 +167,14 @@
         }
     }
 
+    /// Returns when the caller may come back.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NotRun { retry_after, .. } => *retry_after,
+            Self::MayHaveRun { .. } => None,
+        }
+    }
+
     /// Returns the reason.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -226,40 +226,74 @@
     headers: CallerHeaders,
     arrived: Duration,
 ) -> Result<Response<AnswerBody>, Verdict> {
-    let request_id = headers.request_id.clone();
-    let result = match accept(node, req, headers, arrived).await {
+    let mut trail = Trail::start(headers.request_id.clone(), arrived);
+    let result = match accept(node, req, headers, &mut trail).await {
         Ok(req) => answer(node, Rc::new(req)).await,
         Err(verdict) => Err(verdict),
     };
-    match &result {
-        Ok(_) => {}
-        Err(verdict) => note_verdict(node, &request_id, arrived, verdict),
+    if let Err(verdict) = &result {
+        note_verdict(node, &trail, verdict);
     }
     result
 }
 
-fn note_verdict(node: &Node, request_id: &SmolStr, arrived: Duration, verdict: &Verdict) {
+/// What is known of a request so far, for the log line of its end.
+struct Trail {
+    request_id: SmolStr,
+    arrived: Duration,
+    route: SmolStr,
+    customer: SmolStr,
+    tokens: u64,
+    config: u64,
+}
+
+impl Trail {
+    fn start(request_id: SmolStr, arrived: Duration) -> Self {
+        Self {
+            request_id,
+            arrived,
+            route: SmolStr::default(),
+            customer: SmolStr::default(),
+            tokens: 0,
+            config: 0,
+        }
+    }
+
+    fn admitted(&mut self, admission: &Admission, headers: &CallerHeaders) {
+        self.route = admission.route.name.clone();
+        self.config = admission.config.version;
+        self.tokens = admission.tokens(headers);
+        if let Some(customer) = &admission.customer {
+            self.customer = customer.name.clone();
+        }
+    }
+}
+
+fn note_verdict(node: &Node, trail: &Trail, verdict: &Verdict) {
     let now = node.now();
     let code = match verdict {
         Verdict::NotRun { .. } => EventCode::Refused,
         Verdict::MayHaveRun { .. } => EventCode::Failed,
     };
     let proof_age = node.state.borrow().proof_age(now);
-    let fields = [
-        ("request", request_id.as_str().into()),
-        ("status", verdict.status().as_u16().into()),
-        ("cause", verdict.reason().into()),
-        (
-            "after_ms",
-            (now.saturating_sub(arrived).as_millis() as u64).into(),
-        ),
-        (
-            "config_age_ms",
-            proof_age.map(|age| age.as_millis() as u64).into(),
-        ),
-    ];
-    node.note(code, fields);
-    node.metrics.answered("", "", verdict.reason());
+    let ms = |time: Duration| time.as_millis() as u64;
+    node.note(
+        code,
+        [
+            ("request", trail.request_id.as_str().into()),
+            ("route", trail.route.as_str().into()),
+            ("customer", trail.customer.as_str().into()),
+            ("status", verdict.status().as_u16().into()),
+            ("cause", verdict.reason().into()),
+            ("retry_after_ms", verdict.retry_after().map(ms).into()),
+            ("tokens", trail.tokens.into()),
+            ("after_ms", ms(now.saturating_sub(trail.arrived)).into()),
+            ("config", trail.config.into()),
+            ("config_age_ms", proof_age.map(ms).into()),
+        ],
+    );
+    node.metrics
+        .answered(&trail.customer, &trail.route, verdict.reason());
 }
 
 /// Whose request it is and where it leads.
@@ -270,13 +304,25 @@
     service: SmolStr,
 }
 
+impl Admission {
+    /// Tokens that the request counts as against its customer's limit.
+    fn tokens(&self, headers: &CallerHeaders) -> u64 {
+        let quota = self.customer.as_ref().and_then(|c| c.quota);
+        let plain = quota.map_or(0, |q| q.plain_tokens);
+        let generation = headers.generation;
+        generation.map_or(plain, |g| g.prompt_tokens + g.max_output)
+    }
+}
+
 async fn accept(
     node: &Rc<Node>,
     req: Request<Incoming>,
     headers: CallerHeaders,
-    arrived: Duration,
+    trail: &mut Trail,
 ) -> Result<CallerRequest, Verdict> {
+    let arrived = trail.arrived;
     let admission = admit(node, &req, &headers)?;
+    trail.admitted(&admission, &headers);
     let patience = headers.patience.unwrap_or(admission.route.timeout);
     let give_up = arrived + patience.min(admission.route.timeout);
     let (parts, body) = req.into_parts();
@@ -407,12 +453,7 @@
     let Some(customer) = &admission.customer else {
         return Ok(0);
     };
-    let Some(quota) = customer.quota else {
-        return Ok(0);
-    };
-    let tokens = headers
-        .generation
-        .map_or(quota.plain_tokens, |g| g.prompt_tokens + g.max_output);
+    let tokens = admission.tokens(headers);
     let mut state = node.state.borrow_mut();
     match state.quotas.charge(node.now(), &customer.name, tokens) {
         QuotaDecision::Charged => Ok(tokens),
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -1,7 +1,7 @@
 //! Stops the process without cutting an answer off.
 
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
@@ -74,11 +74,11 @@
     }
 }
 
-fn modified(path: &PathBuf) -> Option<SystemTime> {
+fn modified(path: &Path) -> Option<SystemTime> {
     std::fs::metadata(path).and_then(|m| m.modified()).ok()
 }
 
-fn reload(node: &Node, path: &PathBuf) {
+fn reload(node: &Node, path: &Path) {
     match Settings::open(path) {
         Ok(settings) => {
             let is_new = settings != *node.settings();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -259,16 +259,23 @@
         }
     }
 
-    async fn ask_engines(&mut self) -> Option<Room> {
-        let tokens = self.needed_tokens();
+    fn decode_candidates(&self, tokens: u64) -> Vec<ServerKey> {
         let zone = self.node.settings().zone.clone();
         let pick = self.pick(&zone, &self.avoid);
-        let memory = self.spec.kv_tokens;
-        let draw = || self.node.draw();
+        let (memory, draw) = (self.spec.kv_tokens, || self.node.draw());
         let state = self.node.state.borrow();
-        let candidates = state.pool.decode_candidates(&pick, memory, tokens, draw);
-        drop(state);
-        for server in candidates.into_iter().take(ASKED_AT_ONCE) {
+        state.pool.decode_candidates(&pick, memory, tokens, draw)
+    }
+
+    fn pick_prefill(&self, zone: &str, tried: &[ServerKey]) -> Option<(ServerKey, Duration)> {
+        let pick = self.pick(zone, tried);
+        let (tokens, draw) = (self.prompt_tokens(), || self.node.draw());
+        self.node.state.borrow().pool.pick_prefill(&pick, tokens, draw)
+    }
+
+    async fn ask_engines(&mut self) -> Option<Room> {
+        let tokens = self.needed_tokens();
+        for server in self.decode_candidates(tokens).into_iter().take(ASKED_AT_ONCE) {
             let mut room = Room::plan(&self.node, server, tokens);
             let dialect = self.node.adapter.servers;
             let request = (dialect.take_hold)(tokens, self.spec.hold_lifetime);
@@ -293,18 +300,12 @@
     /// Has the prompt read; `None` if the decode engine should read it by itself.
     async fn prefill(&mut self, room: &Room) -> Result<Option<Kv>, Verdict> {
         let zone = room.zone();
-        let tokens = self.prompt_tokens();
         let mut tried = Vec::new();
         while tried.len() < MOST_PREFILLS {
-            let pick = self.pick(&zone, &tried);
-            let now = pick.now;
-            let draw = || self.node.draw();
-            let state = self.node.state.borrow();
-            let picked = state.pool.pick_prefill(&pick, tokens, draw);
-            drop(state);
-            let Some((server, expected)) = picked else {
+            let Some((server, expected)) = self.pick_prefill(&zone, &tried) else {
                 break;
             };
+            let now = self.node.now();
             if self.is_too_late(now + expected) && self.may_self_read(room) {
                 break;
             }
--- a/crates/gateway/src/room_queue.rs
+++ b/crates/gateway/src/room_queue.rs
@@ -51,11 +51,6 @@
     pub fn changed(&self) {
         self.changed.notify_waiters();
     }
-
-    /// Number of generations that wait.
-    pub fn len(&self) -> usize {
-        self.places.borrow().len()
-    }
 }
 
 impl Waiting<'_> {
--- /dev/null
+++ b/crates/routing/tests/engine_memory.rs
@@ -0,0 +1,146 @@
+//! Decode memory that runs out, and prompts that queue.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{MEMORY, entry, pick, spec};
+use jacinthlever_routing::{EngineProfile, EngineStage, ServerKey, ServerPool, StagePlan};
+use smol_str::SmolStr;
+
+const NOW: Duration = Duration::from_secs(10);
+
+const DECODE: Option<EngineStage> = Some(EngineStage::Decode);
+
+const PREFILL: Option<EngineStage> = Some(EngineStage::Prefill);
+
+fn candidates(pool: &ServerPool, tokens: u64) -> Vec<ServerKey> {
+    pool.decode_candidates(&pick(NOW, &[]), MEMORY, tokens, || 0.0)
+}
+
+#[test]
+fn an_engine_without_room_is_not_asked() {
+    let mut pool = ServerPool::default();
+    let full = pool.registered(entry("full", "a", DECODE));
+    let free = pool.registered(entry("free", "b", DECODE));
+    if let Some(server) = pool.get_mut(full) {
+        server.own_tokens = MEMORY - 1_000;
+    }
+    assert_eq!(candidates(&pool, 4_000), [free]);
+}
+
+#[test]
+fn what_peers_and_other_zones_reserve_takes_room_until_it_is_old() {
+    let mut pool = ServerPool::default();
+    let engine = pool.registered(entry("engine", "a", DECODE));
+    let held = [(SmolStr::new("engine"), MEMORY / 2)];
+    pool.peer_reserved(NOW, &SmolStr::new("peer"), &held);
+    pool.zone_reserved(NOW, &SmolStr::new("b"), &held);
+    assert_eq!(candidates(&pool, 4_000), []);
+    let later = NOW + Duration::from_secs(2);
+    let fresh = pool.decode_candidates(&pick(later, &[]), MEMORY, 4_000, || 0.0);
+    assert_eq!(fresh, [engine]);
+}
+
+#[test]
+fn what_a_peer_has_released_is_free_again() {
+    let mut pool = ServerPool::default();
+    let engine = pool.registered(entry("engine", "a", DECODE));
+    let peer = SmolStr::new("peer");
+    pool.peer_reserved(NOW, &peer, &[(SmolStr::new("engine"), MEMORY)]);
+    assert_eq!(candidates(&pool, 4_000), []);
+    pool.peer_reserved(NOW, &peer, &[]);
+    assert_eq!(candidates(&pool, 4_000), [engine]);
+}
+
+#[test]
+fn the_own_zone_comes_first_until_it_is_clearly_fuller() {
+    let mut pool = ServerPool::default();
+    let far = pool.registered(entry("far", "b", DECODE));
+    let near = pool.registered(entry("near", "a", DECODE));
+    assert_eq!(candidates(&pool, 4_000), [near, far]);
+    if let Some(server) = pool.get_mut(near) {
+        server.own_tokens = MEMORY / 2;
+    }
+    assert_eq!(candidates(&pool, 4_000), [far, near]);
+}
+
+#[test]
+fn a_prompt_goes_where_it_is_read_soonest() {
+    let mut pool = ServerPool::default();
+    let busy = pool.registered(entry("busy", "a", PREFILL));
+    let idle = pool.registered(entry("idle", "b", PREFILL));
+    if let Some(server) = pool.get_mut(busy) {
+        server.own_tokens = 12_000;
+    }
+    let picked = pool.pick_prefill(&pick(NOW, &[]), 3_000, || 0.0);
+    assert_eq!(picked.map(|(key, _)| key), Some(idle));
+}
+
+#[test]
+fn an_engine_that_reads_slowly_is_expected_to() {
+    let mut pool = ServerPool::default();
+    let slow = pool.registered(entry("slow", "a", PREFILL));
+    let usual = pool.registered(entry("usual", "b", PREFILL));
+    for _ in 0..20 {
+        if let Some(server) = pool.get_mut(slow) {
+            server.read_prompt(3_000, Duration::from_millis(800));
+        }
+    }
+    let picked = pool.pick_prefill(&pick(NOW, &[]), 3_000, || 0.0);
+    assert_eq!(picked.map(|(key, _)| key), Some(usual));
+}
+
+fn engines(prefill: usize, decode: usize) -> ServerPool {
+    let mut pool = ServerPool::default();
+    let zones = ["a", "b", "c"];
+    for n in 0..prefill {
+        pool.registered(entry(&format!("p{n}"), zones[n % 3], PREFILL));
+    }
+    for n in 0..decode {
+        pool.registered(entry(&format!("d{n}"), zones[n % 3], DECODE));
+    }
+    pool
+}
+
+fn plan() -> StagePlan {
+    StagePlan {
+        profile: EngineProfile {
+            prompt_tokens: 3_200.0,
+            output_tokens: 1_050.0,
+            read_tokens_per_ms: 30.0,
+            ms_per_token: 3.5,
+        },
+    }
+}
+
+#[test]
+fn too_many_prefill_engines_become_decode_engines_before_traffic() {
+    let pool = engines(6, 6);
+    let changes = plan().changes(NOW, &pool, "service", &spec(), false);
+    assert_eq!(changes.len(), 2);
+    assert!(changes.iter().all(|c| c.stage == EngineStage::Decode));
+}
+
+#[test]
+fn a_mix_that_is_nearly_right_is_left_alone_under_traffic() {
+    let pool = engines(5, 7);
+    let changes = plan().changes(NOW, &pool, "service", &spec(), true);
+    assert!(changes.is_empty());
+}
+
+#[test]
+fn one_engine_at_a_time_changes_under_traffic() {
+    let pool = engines(1, 11);
+    let changes = plan().changes(NOW, &pool, "service", &spec(), true);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].stage, EngineStage::Prefill);
+}
+
+#[test]
+fn a_service_keeps_an_engine_of_each_stage() {
+    for all in 2..40 {
+        let wanted = plan().profile.prefill_engines(&spec(), all);
+        assert!((1..all).contains(&wanted), "{wanted} of {all}");
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/registrations.rs
@@ -0,0 +1,74 @@
+//! Registrations that change, lapse and come back.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{entry, pick};
+use jacinthlever_routing::{ServerPool, ServerState};
+
+const NOW: Duration = Duration::from_secs(10);
+
+#[test]
+fn a_draining_server_gets_no_work() {
+    let mut pool = ServerPool::default();
+    pool.registered(entry("one", "a", None));
+    let mut leaving = entry("one", "a", None);
+    leaving.state = ServerState::Draining;
+    pool.registered(leaving);
+    assert_eq!(pool.pick_plain(&pick(NOW, &[])), None);
+}
+
+#[test]
+fn a_server_that_is_gone_while_the_store_is_there_gets_no_work() {
+    let mut pool = ServerPool::default();
+    pool.registered(entry("one", "a", None));
+    pool.unregistered(NOW, "one", false);
+    assert_eq!(pool.pick_plain(&pick(NOW, &[])), None);
+}
+
+#[test]
+fn a_registration_that_lapsed_with_the_store_is_used_until_it_should_be_back() {
+    let mut pool = ServerPool::default();
+    let key = pool.registered(entry("one", "a", None));
+    pool.unregistered(NOW, "one", true);
+    assert_eq!(pool.pick_plain(&pick(NOW, &[])), Some(key));
+    pool.expire_lapsed(NOW + Duration::from_millis(1900));
+    assert_eq!(pool.pick_plain(&pick(NOW, &[])), Some(key));
+    pool.expire_lapsed(NOW + Duration::from_millis(2000));
+    assert_eq!(pool.pick_plain(&pick(NOW, &[])), None);
+}
+
+#[test]
+fn a_registration_that_is_back_stays() {
+    let mut pool = ServerPool::default();
+    let key = pool.registered(entry("one", "a", None));
+    pool.unregistered(NOW, "one", true);
+    pool.registered(entry("one", "a", None));
+    pool.expire_lapsed(NOW + Duration::from_secs(60));
+    assert_eq!(pool.pick_plain(&pick(NOW, &[])), Some(key));
+}
+
+#[test]
+fn a_server_that_leaves_by_its_own_word_does_not_lapse() {
+    let mut pool = ServerPool::default();
+    let mut leaving = entry("one", "a", None);
+    leaving.state = ServerState::Draining;
+    pool.registered(leaving);
+    pool.unregistered(NOW, "one", true);
+    assert_eq!(pool.all().count(), 0);
+}
+
+#[test]
+fn a_server_that_starts_anew_under_its_name_has_no_past() {
+    let mut pool = ServerPool::default();
+    let before = pool.registered(entry("one", "a", None));
+    if let Some(server) = pool.get_mut(before) {
+        server.own_tokens = 9_000;
+    }
+    let mut restarted = entry("one", "a", None);
+    restarted.started = Some(2);
+    let after = pool.registered(restarted);
+    assert_ne!(before, after);
+    assert_eq!(pool.get(after).map(|s| s.reserved_tokens(NOW)), Some(0));
+}
