A new resend budget has its allowance from the start

Cause: the end-to-end test of a lookup that fails twice showed that the budget of a service gave nothing until the next report to peers (150 ms), so the first resends of a new service were dropped. Ruled out: the choice of the second server, maxAttempts. Test: a_booking_whose_server_fails_is_not_sent_again.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -270,12 +270,20 @@
     fn pick_prefill(&self, zone: &str, tried: &[ServerKey]) -> Option<(ServerKey, Duration)> {
         let pick = self.pick(zone, tried);
         let (tokens, draw) = (self.prompt_tokens(), || self.node.draw());
-        self.node.state.borrow().pool.pick_prefill(&pick, tokens, draw)
+        self.node
+            .state
+            .borrow()
+            .pool
+            .pick_prefill(&pick, tokens, draw)
     }
 
     async fn ask_engines(&mut self) -> Option<Room> {
         let tokens = self.needed_tokens();
-        for server in self.decode_candidates(tokens).into_iter().take(ASKED_AT_ONCE) {
+        for server in self
+            .decode_candidates(tokens)
+            .into_iter()
+            .take(ASKED_AT_ONCE)
+        {
             let mut room = Room::plan(&self.node, server, tokens);
             let dialect = self.node.adapter.servers;
             let request = (dialect.take_hold)(tokens, self.spec.hold_lifetime);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -41,6 +41,8 @@
     pub poison: PoisonList,
     /// Budgets of resends by service.
     pub budgets: BTreeMap<SmolStr, ResendBudget>,
+    /// This instance's part of the resends that each service allows beside the ratio.
+    pub resend_allowance: f64,
     /// When the store answered again after it had failed to tell the servers.
     pub servers_regained: Option<Duration>,
     /// Whether the process is stopping.
@@ -121,17 +123,18 @@
     /// Returns the budget of resends to a service.
     pub fn budget(&mut self, settings: &Settings, service: &SmolStr) -> &mut ResendBudget {
         let bounds = &settings.bounds;
-        self.budgets
-            .entry(service.clone())
-            .or_insert_with(|| ResendBudget::new(bounds.resend_window(), bounds.resend_ratio, 0.0))
+        let allowance = self.resend_allowance;
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            ResendBudget::new(bounds.resend_window(), bounds.resend_ratio, allowance)
+        })
     }
 
     /// Shares fleet-wide allowances out again, as the fleet is now.
     pub fn share_out(&mut self, now: Duration, settings: &Settings) {
         let fleet = self.members.fleet_size(now) as f64;
-        let allowance = settings.bounds.resend_allowance / fleet;
+        self.resend_allowance = settings.bounds.resend_allowance / fleet;
         for budget in self.budgets.values_mut() {
-            budget.set_allowance(allowance);
+            budget.set_allowance(self.resend_allowance);
         }
         self.quotas
             .set_share(now, self.members.reachable_share(now));
