--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -245,6 +245,7 @@
         let waiting = node.room.join(self.req.priority, until);
         loop {
             if waiting.may_ask()
+                && self.can_be_read()
                 && let Some(room) = self.ask_engines().await
             {
                 return Ok(room);
@@ -259,6 +260,13 @@
         }
     }
 
+    /// Whether the prompt would be read soon enough to reserve memory for its answer now.
+    fn can_be_read(&self) -> bool {
+        let zone = self.node.settings().zone.clone();
+        let picked = self.pick_prefill(&zone, &[]);
+        picked.is_none_or(|(_, expected)| !self.is_too_late(self.node.now() + expected))
+    }
+
     fn decode_candidates(&self, tokens: u64) -> Vec<ServerKey> {
         let zone = self.node.settings().zone.clone();
         let pick = self.pick(&zone, &self.avoid);
