--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -113,6 +113,7 @@
             ..extra
         };
         let prefills = extra.prefill_only;
+        note_send(node, req, server, &extra);
         (node.adapter.servers.write)(&mut headers, &extra);
         let call = Outgoing {
             method: req.method.clone(),
@@ -395,6 +396,37 @@
     headers
 }
 
+/// Logs a send, with what was known of the server when it was picked.
+fn note_send(node: &Node, req: &CallerRequest, server: ServerKey, extra: &ServerHeaders) {
+    let state = node.state.borrow();
+    let Some(picked) = state.pool.get(server) else {
+        return;
+    };
+    let now = node.now();
+    let work = match (extra.prefill_only, extra.hold.is_some()) {
+        (true, _) => "prefill",
+        (false, true) => "decode",
+        (false, false) => "plain",
+    };
+    node.note(
+        EventCode::Sent,
+        [
+            ("request", req.headers.request_id.as_str().into()),
+            ("server", picked.entry.id.as_str().into()),
+            ("work", work.into()),
+            ("load", picked.load(now).into()),
+            ("reserved_tokens", picked.reserved_tokens(now).into()),
+            ("failure_rate", hundredths(picked.failure_rate(now)).into()),
+            ("time_left_ms", (extra.time_left.as_millis() as u64).into()),
+            ("config", req.config.version.into()),
+        ],
+    );
+}
+
+fn hundredths(part: f64) -> f64 {
+    (part * 100.0).round() / 100.0
+}
+
 /// Logs a send that failed.
 pub fn note_fault(node: &Node, req: &CallerRequest, server: ServerKey, fault: SendFault) {
     let id = node.state.borrow().pool.id_of(server);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -1,11 +1,13 @@
 //! Starts all duties of an instance and runs them to the end.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
+use smol_str::{SmolStr, format_smolstr};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -92,10 +94,30 @@
 }
 
 async fn sweep(node: Rc<Node>) {
+    let mut heard = BTreeSet::new();
     loop {
         sleep(SWEEP_EVERY).await;
         let now = node.now();
         node.state.borrow_mut().pool.expire_lapsed(now);
         node.upstreams.expire(now);
+        let hears = heard_now(&node);
+        for name in hears.difference(&heard) {
+            node.note(EventCode::PeerRegained, [("peer", name.as_str().into())]);
+        }
+        for name in heard.difference(&hears) {
+            node.note(EventCode::PeerLost, [("peer", name.as_str().into())]);
+        }
+        heard = hears;
     }
 }
+
+/// Returns the peers of this zone and the other zones that are heard.
+fn heard_now(node: &Node) -> BTreeSet<SmolStr> {
+    let state = node.state.borrow();
+    let now = node.now();
+    let zones = state.members.heard_zones(now);
+    let zones = zones.map(|zone| format_smolstr!("zone {zone}"));
+    zones
+        .chain(state.members.heard_peers(now).cloned())
+        .collect()
+}
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -71,7 +71,7 @@
         let mut line = self.scratch.borrow_mut();
         line.clear();
         line.insert("at_ms".into(), unix_ms().into());
-        line.insert("code".into(), (code as u16).into());
+        line.insert("code".into(), code.number().into());
         line.insert("event".into(), format!("{code:?}").into());
         for (name, value) in fields {
             line.insert(name.into(), value);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -108,9 +108,14 @@
     /// Records how a call to a backend server ended.
     pub fn record(&self, server: ServerKey, outcome: Outcome) {
         let now = self.now();
-        self.state.borrow_mut().pool.record(now, server, outcome);
-        if outcome == Outcome::Silent {
-            self.upstreams.forget(server);
+        let mut state = self.state.borrow_mut();
+        state.pool.record(now, server, outcome);
+        if outcome != Outcome::Silent {
+            return;
         }
+        let id = state.pool.id_of(server);
+        drop(state);
+        self.upstreams.forget(server);
+        self.note(EventCode::ServerSilent, [("server", id.as_str().into())]);
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,88 @@
+//! Settings that cannot work are refused with the field and what is expected there.
+
+use jacinthlever_gateway::{Settings, SettingsError};
+use serde_json::{Value, json};
+
+fn settings() -> Value {
+    json!({
+        "instance": "i", "zone": "z", "region": "r",
+        "listen": {
+            "callers": "127.0.0.1:1", "directory": "127.0.0.1:2", "readiness": "127.0.0.1:3",
+            "peers": "127.0.0.1:4", "metrics": "127.0.0.1:5",
+        },
+        "max_descriptors": 1024,
+        "store": { "address": "127.0.0.1:6" },
+        "bounds": {
+            "revoke_ms": 5000, "grace_s": 8.0, "resend_ratio": 0.2, "resend_window_s": 10.0,
+            "resend_allowance": 52.0, "lease_ms": 3000, "directory_ttl_s": 5.0,
+        },
+    })
+}
+
+fn fault(path: &str, value: Value) -> String {
+    let mut settings = settings();
+    let place = settings.pointer_mut(path).expect("a field");
+    *place = value;
+    match Settings::parse("file", &settings.to_string()) {
+        Ok(_) => "none".into(),
+        Err(error) => error.to_string(),
+    }
+}
+
+#[test]
+fn good_settings_pass() {
+    assert!(Settings::parse("file", &settings().to_string()).is_ok());
+}
+
+#[test]
+fn each_fault_names_its_field() {
+    let cases = [
+        ("/instance", json!(""), "instance: expected a name"),
+        (
+            "/max_descriptors",
+            json!(10),
+            "max_descriptors: expected at least 256",
+        ),
+        (
+            "/bounds/revoke_ms",
+            json!(10),
+            "bounds.revoke_ms: expected at least 1000",
+        ),
+        (
+            "/bounds/grace_s",
+            json!(0),
+            "bounds.grace_s: expected more than 0",
+        ),
+        (
+            "/bounds/resend_ratio",
+            json!(2),
+            "bounds.resend_ratio: expected 0 to 1",
+        ),
+        (
+            "/listen/callers",
+            json!("127.0.0.1:2"),
+            "listen: expected a different address",
+        ),
+        (
+            "/listen/callers",
+            json!("nowhere"),
+            "invalid socket address",
+        ),
+        (
+            "/store",
+            json!({ "adress": "127.0.0.1:6" }),
+            "unknown field `adress`",
+        ),
+    ];
+    for (path, value, expected) in cases {
+        let found = fault(path, value);
+        assert!(found.contains(expected), "{path}: {found}");
+        assert!(found.starts_with("file: "), "{found}");
+    }
+}
+
+#[test]
+fn a_file_that_is_not_there_is_named() {
+    let error = Settings::open(std::path::Path::new("/none/settings.json"));
+    assert!(matches!(error, Err(SettingsError::Unreadable { file, .. }) if file.contains("none")));
+}
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -224,6 +224,19 @@
             .collect()
     }
 
+    /// Returns the names of the peers of this zone that are heard.
+    pub fn heard_peers(&self, now: Duration) -> impl Iterator<Item = &SmolStr> {
+        let near = self.peers.iter();
+        near.filter(move |(_, p)| p.member.zone == self.zone && p.is_reachable(now))
+            .map(|(name, _)| name)
+    }
+
+    /// Returns the other zones whose speakers are heard.
+    pub fn heard_zones(&self, now: Duration) -> impl Iterator<Item = &SmolStr> {
+        let fresh = self.zones.iter().filter(move |(_, z)| z.is_fresh(now));
+        fresh.map(|(zone, _)| zone)
+    }
+
     /// Number of instances in this zone, this one included.
     pub fn zone_size(&self, now: Duration) -> usize {
         1 + self.zone_peers(now).count()
