--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -258,15 +258,6 @@
             config: 0,
         }
     }
-
-    fn admitted(&mut self, admission: &Admission, headers: &CallerHeaders) {
-        self.route = admission.route.name.clone();
-        self.config = admission.config.version;
-        self.tokens = admission.tokens(headers);
-        if let Some(customer) = &admission.customer {
-            self.customer = customer.name.clone();
-        }
-    }
 }
 
 fn note_verdict(node: &Node, trail: &Trail, verdict: &Verdict) {
@@ -321,8 +312,8 @@
     trail: &mut Trail,
 ) -> Result<CallerRequest, Verdict> {
     let arrived = trail.arrived;
-    let admission = admit(node, &req, &headers)?;
-    trail.admitted(&admission, &headers);
+    let admission = admit(node, &req, &headers, trail)?;
+    trail.tokens = admission.tokens(&headers);
     let patience = headers.patience.unwrap_or(admission.route.timeout);
     let give_up = arrived + patience.min(admission.route.timeout);
     let (parts, body) = req.into_parts();
@@ -376,6 +367,7 @@
     node: &Node,
     req: &Request<Incoming>,
     headers: &CallerHeaders,
+    trail: &mut Trail,
 ) -> Result<Admission, Verdict> {
     let now = node.now();
     let state = node.state.borrow();
@@ -385,6 +377,7 @@
     let is_certain = state.is_certain(now);
     let keys_are_proved = state.keys_are_proved(now, &node.settings());
     drop(state);
+    trail.config = config.version;
     let unknown = |status, reason| match is_certain {
         true => Verdict::reject(status, reason),
         false => Verdict::unavailable("configuration may be old", RETRY_UNPROVED),
@@ -393,6 +386,7 @@
     let Some(route) = config.route(host, req.uri().path()).cloned() else {
         return Err(unknown(StatusCode::NOT_FOUND, "no such route"));
     };
+    trail.route = route.name.clone();
     let customer = if route.is_public || !config.needs_keys {
         None
     } else {
@@ -400,6 +394,7 @@
         let Some(customer) = key.and_then(|key| config.customer_of(key)).cloned() else {
             return Err(unknown(StatusCode::UNAUTHORIZED, "unknown key"));
         };
+        trail.customer = customer.name.clone();
         if !keys_are_proved {
             return Err(Verdict::unavailable("key is not proved", RETRY_UNPROVED));
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -24,6 +24,12 @@
 /// Body from which a connection is not used again: the server may answer before it has read all.
 const LARGE_BODY: usize = 32 * 1024;
 
+/// Latency targets without an answer after which a server counts as silent.
+const SILENT_TARGETS: u32 = 2;
+
+/// Shortest silence that counts against a server.
+const MIN_SILENCE: Duration = Duration::from_millis(600);
+
 /// Longest time for an answer to a call that carries no caller's request.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -178,8 +184,10 @@
                 return Err(fault);
             }
             Err(_) => {
-                node.record(server, Outcome::Silent);
-                return Err(SendFault::Lost("no answer in time"));
+                if within >= silence(permit) {
+                    node.record(server, Outcome::Silent);
+                }
+                return Err(OVERDUE);
             }
         };
         let (parts, body) = response.into_parts();
@@ -286,6 +294,9 @@
     }
 }
 
+/// The server gave no answer in the time that there was for one.
+pub const OVERDUE: SendFault = SendFault::Lost("no answer in time");
+
 /// The key was withdrawn, or may have been, between arrival and send.
 pub const WITHDRAWN: SendFault = SendFault::Unsent("key is no longer proved");
 
@@ -295,6 +306,18 @@
     prefills: bool,
 }
 
+/// Returns the silence after which a server counts as not answering: a request that had less time
+/// than that says nothing against the server.
+///
+/// The time for a prefill or a call is chosen by what is expected, so its end always counts.
+fn silence(permit: Option<&SendPermit<'_>>) -> Duration {
+    let Some(permit) = permit.filter(|p| !p.prefills) else {
+        return Duration::ZERO;
+    };
+    let usual = permit.req.route.target_latency * SILENT_TARGETS;
+    usual.max(MIN_SILENCE)
+}
+
 struct Target {
     id: SmolStr,
     address: SmolStr,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -14,7 +14,7 @@
 use crate::ServerHeaders;
 use crate::answer::{AnswerBody, Verdict};
 use crate::caller_request::CallerRequest;
-use crate::exchange::{Exchange, MOST_WHOLE, SendFault, WITHDRAWN, note_fault};
+use crate::exchange::{Exchange, MOST_WHOLE, OVERDUE, SendFault, WITHDRAWN, note_fault};
 use crate::node::Node;
 use crate::suspects;
 
@@ -153,7 +153,10 @@
             return Ok(whole);
         }
         if self.req.may_have_run.get() {
-            return Err(Verdict::lost("server gave no answer"));
+            return Err(match self.fault {
+                Some(OVERDUE) => Verdict::timed_out(),
+                _ => Verdict::lost("server gave no answer"),
+            });
         }
         Err(match self.fault {
             Some(WITHDRAWN) => Verdict::unavailable("key is not proved", RETRY_WHEN_FULL),
