--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -52,13 +52,15 @@
     Suspected = 1508,
     /// A generation has its first event.
     FirstEvent = 1509,
+    /// A generation waited for engine memory in vain; what engines looked like.
+    NoRoom = 1510,
     /// Lines were left out to bound the volume.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -83,6 +85,7 @@
         Self::CallerLeft,
         Self::Suspected,
         Self::FirstEvent,
+        Self::NoRoom,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -298,7 +298,7 @@
 pub const OVERDUE: SendFault = SendFault::Lost("no answer in time");
 
 /// The key was withdrawn, or may have been, between arrival and send.
-pub const WITHDRAWN: SendFault = SendFault::Unsent("key is no longer proved");
+pub const WITHDRAWN: SendFault = SendFault::Unsent("key is no longer accepted");
 
 /// A caller's request that is about to be sent.
 struct SendPermit<'a> {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use jacinthlever_routing::{EngineSpec, Outcome, Pick, RoomPolicy, RoomWait, ServerKey};
+use jacinthlever_routing::{
+    EngineSpec, EngineStage, Outcome, Pick, RoomPolicy, RoomWait, ServerKey,
+};
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
@@ -193,7 +195,7 @@
 
     fn after_fault(&mut self, server: ServerKey, fault: SendFault) -> Result<(), Verdict> {
         if fault == WITHDRAWN {
-            return Err(self.refusal("key is not proved"));
+            return Err(self.refusal("key is no longer accepted"));
         }
         if fault.may_have_run() {
             self.failed_at(server);
@@ -251,6 +253,7 @@
                 return Ok(room);
             }
             if node.now() >= until {
+                self.note_no_room();
                 return Err(self.refusal("no engine has room"));
             }
             tokio::select! {
@@ -260,6 +263,27 @@
         }
     }
 
+    /// Logs what the engines looked like to a request that is given up.
+    fn note_no_room(&self) {
+        let now = self.node.now();
+        let state = self.node.state.borrow();
+        let engines = state.pool.of(&self.req.service);
+        let decode = engines.filter(|(_, s)| s.entry.stage == Some(EngineStage::Decode));
+        let reserved: Vec<u64> = decode.map(|(_, s)| s.reserved_tokens(now)).collect();
+        let least = reserved.iter().min().copied();
+        self.node.note(
+            EventCode::NoRoom,
+            [
+                ("request", self.req.headers.request_id.as_str().into()),
+                ("needed_tokens", self.needed_tokens().into()),
+                ("engine_tokens", self.spec.kv_tokens.into()),
+                ("decode_engines", reserved.len().into()),
+                ("least_reserved_tokens", least.into()),
+                ("waiting_here", self.node.room.waiting().into()),
+            ],
+        );
+    }
+
     /// Whether the prompt would be read soon enough to reserve memory for its answer now.
     fn can_be_read(&self) -> bool {
         let zone = self.node.settings().zone.clone();
@@ -331,7 +355,7 @@
             tried.push(server);
             match self.read_prompt(server, expected).await {
                 Ok(kv) => return Ok(Some(kv)),
-                Err(WITHDRAWN) => return Err(self.refusal("key is not proved")),
+                Err(WITHDRAWN) => return Err(self.refusal("key is no longer accepted")),
                 Err(fault) => note_fault(&self.node, &self.req, server, fault),
             }
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -159,7 +159,7 @@
             });
         }
         Err(match self.fault {
-            Some(WITHDRAWN) => Verdict::unavailable("key is not proved", RETRY_WHEN_FULL),
+            Some(WITHDRAWN) => Verdict::unavailable("key is no longer accepted", RETRY_WHEN_FULL),
             Some(fault) => Verdict::unavailable(fault.reason(), RETRY_WHEN_FULL),
             None => Verdict::unavailable("no server", RETRY_WHEN_FULL),
         })
--- a/crates/gateway/src/room_queue.rs
+++ b/crates/gateway/src/room_queue.rs
@@ -47,6 +47,11 @@
         Waiting { queue: self, place }
     }
 
+    /// Number of generations that wait.
+    pub fn waiting(&self) -> usize {
+        self.places.borrow().len()
+    }
+
     /// Takes in that an engine may have room.
     pub fn changed(&self) {
         self.changed.notify_waiters();
