A broken stream looks for its next engine anew; changes of servers are passed on in a zone

Cause: the end-to-end test of a stream that breaks failed once the order of engines was drawn: a resumed stream was measured against its arrival, counted as too late to be read, and asked no engine. The search begins anew at the fault now. A read of the whole table is not passed on, since it does not tell of removed rows. Ruled out: the stand-in (it holds a broken stream open, so the engine counts as silent after 1.2 s).

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -5,6 +5,7 @@
 
 use http::{HeaderMap, Method, StatusCode};
 use jacinthlever_routing::{EngineStage, FleetConfig, ServerEntry};
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// All translations of one platform.
@@ -215,7 +216,7 @@
 }
 
 /// A row of a table.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
     /// Key in the table.
     pub key: SmolStr,
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
-use crate::freshness::Freshness;
+use crate::freshness::{Change, Freshness};
 use crate::node::Node;
 use crate::state::State;
 use crate::store::{StoreClient, StoreFault};
@@ -199,7 +199,7 @@
         self.note_regained();
         remove_others(&self.node, self.table, &rows);
         self.version = Some(rows.version);
-        self.apply(asked, rows);
+        self.apply(asked, &rows);
         Ok(true)
     }
 
@@ -216,7 +216,9 @@
             Feed::Rows(rows) => {
                 let has_changes = !rows.rows.is_empty();
                 self.version = Some(rows.version.max(after));
-                self.apply(asked, rows);
+                let from = self.freshness(&self.node.state.borrow()).row;
+                self.apply(asked, &rows);
+                self.pass_on(from, rows.rows);
                 Ok(has_changes)
             }
         }
@@ -228,14 +230,14 @@
         }
     }
 
-    fn apply(&self, asked: Asked, rows: Rows) {
+    fn apply(&self, asked: Asked, rows: &Rows) {
         let newest = rows.rows.iter().map(|row| row.version).max();
-        for row in rows.rows {
+        for row in &rows.rows {
             match self.table {
                 // What cannot be read may withdraw a key, so the older one is no longer proved.
-                Table::Config if !apply_config(&self.node, &row) => return,
+                Table::Config if !apply_config(&self.node, row) => return,
                 Table::Config => {}
-                _ => apply_server(&self.node, &row),
+                _ => apply_server(&self.node, row),
             }
         }
         let mut state = self.node.state.borrow_mut();
@@ -248,6 +250,17 @@
         fresh.row = fresh.row.max(newest.unwrap_or(0)).max(known);
         fresh.proved_ms = fresh.proved_ms.max(rows.store_ms);
     }
+
+    /// Passes changes on to peers. Only a watch tells of rows that were removed, so what a read of
+    /// the whole table gave is not passed on.
+    fn pass_on(&self, from: u64, rows: Vec<Row>) {
+        let now = self.node.now();
+        let mut state = self.node.state.borrow_mut();
+        if self.table == Table::Servers && state.members.rank(now) < WATCHERS {
+            let to = state.servers_fresh.row;
+            state.server_changes.put(now, Change { from, to, rows });
+        }
+    }
 }
 
 /// What was known when a call was sent.
@@ -309,6 +322,20 @@
     }
 }
 
+/// Takes in changes that a peer has read from the store, if none before them is missing here.
+pub fn apply_passed_on(node: &Node, changes: Vec<Change>) {
+    for change in changes {
+        let known = node.state.borrow().servers_fresh.row;
+        if known < change.from || known >= change.to {
+            continue;
+        }
+        for row in change.rows.iter().filter(|row| row.version > known) {
+            apply_server(node, row);
+        }
+        node.state.borrow_mut().servers_fresh.row = change.to;
+    }
+}
+
 fn remove_others(node: &Node, table: Table, rows: &Rows) {
     if table != Table::Servers {
         return;
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -1,9 +1,17 @@
-//! How new the copy of a table of the store is.
+//! How new the copy of a table of the store is, and changes that are passed on between instances.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::Row;
+
+/// How long changes are passed on, so that a few lost reports do no harm.
+const PASSED_ON: Duration = Duration::from_millis(1200);
+
+/// Most rows in one change that is passed on; more are read from the store.
+const MOST_ROWS: usize = 24;
+
 /// What an instance knows of a table: the newest row, and when that was last proved to be so.
 ///
 /// The proof is a time of the store's steady clock, which all instances can compare, so a report
@@ -37,3 +45,40 @@
         Some(Duration::from_millis(own.max(0) as u64))
     }
 }
+
+/// Changes of a table that an instance has read from the store.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Change {
+    /// Newest row before; whoever knows it, or a newer one, knows all after these changes.
+    pub from: u64,
+    /// Newest row after.
+    pub to: u64,
+    /// The changed rows.
+    pub rows: Vec<Row>,
+}
+
+/// Changes that are passed on to peers for a while.
+#[derive(Debug, Default)]
+pub struct RecentChanges(Vec<(Duration, Change)>);
+
+impl RecentChanges {
+    /// Takes in a change, unless it is too large to be passed on.
+    pub fn put(&mut self, now: Duration, change: Change) {
+        if !change.rows.is_empty() && change.rows.len() <= MOST_ROWS {
+            self.0.push((now, change));
+        }
+    }
+
+    /// Returns the changes to be passed on, the oldest first.
+    pub fn fresh(&mut self, now: Duration) -> Vec<Change> {
+        self.0.retain(|(at, _)| now < *at + PASSED_ON);
+        let mut rows = 0;
+        let newest = self.0.iter().rev().take_while(|(_, change)| {
+            rows += change.rows.len();
+            rows <= MOST_ROWS
+        });
+        let mut changes: Vec<Change> = newest.map(|(_, change)| change.clone()).collect();
+        changes.reverse();
+        changes
+    }
+}
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -60,6 +60,8 @@
     node: Rc<Node>,
     req: Rc<CallerRequest>,
     spec: EngineSpec,
+    /// When the search for engines began: at arrival, or when an engine failed.
+    since: Duration,
     /// Servers that failed this request.
     avoid: Vec<ServerKey>,
     /// Servers that may have run it.
@@ -98,6 +100,7 @@
 ) -> Result<Response<AnswerBody>, Verdict> {
     node.last_generation.set(Some(node.now()));
     let mut generation = Generation {
+        since: req.arrived,
         node,
         req,
         spec,
@@ -161,6 +164,7 @@
 
     /// Takes in that a server failed the request after it may have run it.
     pub fn failed_at(&mut self, server: ServerKey) {
+        self.since = self.node.now();
         self.avoid.push(server);
         self.ran += 1;
         self.req.may_have_run.set(true);
@@ -237,7 +241,7 @@
             target_latency: self.req.route.target_latency,
         };
         let left = self.req.time_left(self.node.now());
-        let until = match policy.wait(self.req.arrived, left) {
+        let until = match policy.wait(self.since, left) {
             RoomWait::Until(until) => until,
             RoomWait::Refuse { retry_after } => {
                 return Err(Verdict::unavailable("no engine has room", retry_after));
@@ -374,7 +378,7 @@
     /// Whether a prompt that has been read then leaves no time for its first event.
     fn is_too_late(&self, read: Duration) -> bool {
         let usable = self.req.route.target_latency.mul_f64(PREFILL_BY);
-        read > self.req.arrived + usable
+        read > self.since + usable
     }
 
     /// Whether the decode engine may read the prompt without holding its other answers up long.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,8 +15,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::feeds::own_member;
-use crate::freshness::Freshness;
+use crate::feeds::{apply_passed_on, own_member};
+use crate::freshness::{Change, Freshness};
 use crate::node::Node;
 
 /// Shortest time between two reports to each peer.
@@ -38,7 +38,7 @@
 const MOST_BYTES: usize = 32 * 1024;
 
 /// Version of the datagrams; others are ignored.
-const VERSION: u16 = 2;
+const VERSION: u16 = 3;
 
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -69,6 +69,8 @@
     is_ready: bool,
     config: Freshness,
     servers: Freshness,
+    /// Changes of the servers that this instance has read from the store lately.
+    server_changes: Vec<Change>,
     /// Tokens charged to each customer since the start.
     charged: Vec<(SmolStr, u64)>,
     /// Tokens reserved at each engine.
@@ -181,6 +183,7 @@
     let settings = node.settings();
     let now = node.now();
     let digests = node.received.borrow_mut().fresh(now);
+    let server_changes = node.state.borrow_mut().server_changes.fresh(now);
     let state = node.state.borrow();
     let member = own_member(&settings);
     Report {
@@ -193,6 +196,7 @@
         is_ready: state.is_ready(now, &settings),
         config: state.config_fresh,
         servers: state.servers_fresh,
+        server_changes,
         charged: owned(state.quotas.charged()),
         reserved: state.pool.own_reserved(),
         suspects: suspects(&state.poison),
@@ -287,6 +291,9 @@
     }
     state.pool.peer_reserved(now, &name, &report.reserved);
     state.take_suspects(now, &report.suspects);
+    drop(state);
+    apply_passed_on(node, report.server_changes);
+    let mut state = node.state.borrow_mut();
     state.take_freshness(report.config, report.servers);
     drop(state);
     node.hinted.notify_waiters();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::Settings;
-use crate::freshness::{Freshness, StoreClock};
+use crate::freshness::{Freshness, RecentChanges, StoreClock};
 
 /// Margin before a withdrawn key must have stopped working, for the way to a backend server.
 const REVOKE_MARGIN: Duration = Duration::from_millis(700);
@@ -27,6 +27,8 @@
     pub config_fresh: Freshness,
     /// How new the list of backend servers is.
     pub servers_fresh: Freshness,
+    /// Changes of the servers that are passed on to peers.
+    pub server_changes: RecentChanges,
     /// Newest rows that peers know of the configuration and of the servers.
     pub hinted: (u64, u64),
     /// The store's clock.
--- a/crates/routing/src/room.rs
+++ b/crates/routing/src/room.rs
@@ -31,10 +31,10 @@
 }
 
 impl RoomPolicy {
-    /// Returns how long a request that has just arrived may wait.
-    pub fn wait(&self, arrived: Duration, time_left: Duration) -> RoomWait {
+    /// Returns until when a request waits whose search for engines began at `since`.
+    pub fn wait(&self, since: Duration, time_left: Duration) -> RoomWait {
         let usable = self.target_latency.mul_f64(1.0 - PREFILL_PART);
-        RoomWait::Until(arrived + usable.min(time_left.mul_f64(0.5)))
+        RoomWait::Until(since + usable.min(time_left.mul_f64(0.5)))
     }
 
     /// Returns when a refused caller may come back; `draw` is a uniform random number below 1.
