A stopping instance keeps connections until its callers have asked for addresses anew

Kept connections are answered once more now, with `Connection: close`; after 2.6 s the listener and idle connections are closed, so a late caller is refused a connection and goes elsewhere. Ruled out: the end of the process (in_flight 0 at each stop).

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -52,7 +52,11 @@
     let most = (others as f64 * CALLERS_PART) as usize;
     let open = Rc::new(Cell::new(0_usize));
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = node.closing.notified() => break,
+        };
+        let stream = match accepted {
             Ok((stream, _)) if open.get() < most => stream,
             // More connections would starve those that are being served.
             Ok(_) => continue,
@@ -69,6 +73,8 @@
             open.set(open.get() - 1);
         });
     }
+    drop(listener);
+    std::future::pending().await
 }
 
 /// Listens for short questions that are answered at once.
@@ -126,10 +132,7 @@
         .max_buf_size(limits.header_bytes.max(8192))
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
-    let mut is_draining = node.state.borrow().is_draining;
-    if is_draining {
-        connection.as_mut().graceful_shutdown();
-    }
+    let mut is_closing = false;
     loop {
         tokio::select! {
             served = connection.as_mut() => {
@@ -138,8 +141,8 @@
                 }
                 return;
             }
-            () = node.drain.notified(), if !is_draining => {
-                is_draining = true;
+            () = node.drain.notified(), if !is_closing => {
+                is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
             expiry = watch.expired(limits) => match expiry {
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -11,9 +11,13 @@
 use crate::node::Node;
 use crate::{EventCode, Settings};
 
-/// Least time from SIGTERM to the end: callers still come until they ask for addresses again.
+/// Time from SIGTERM for which connections are accepted: callers still come until they ask for
+/// addresses again. After that a refused connection sends them elsewhere at once.
 const LINGER: Duration = Duration::from_millis(2600);
 
+/// Time for a request that was on its way on an accepted connection.
+const LAST_REQUESTS: Duration = Duration::from_millis(250);
+
 /// Time before the kill at which the process ends in any case.
 const END_BEFORE_KILL: Duration = Duration::from_millis(400);
 
@@ -31,7 +35,6 @@
     signal(SignalKind::terminate())?.recv().await;
     let began = Instant::now();
     node.state.borrow_mut().is_draining = true;
-    node.drain.notify_waiters();
     let in_flight = node.in_flight.get();
     node.note(EventCode::Stopping, [("in_flight", in_flight.into())]);
     let most = node
@@ -39,13 +42,12 @@
         .bounds
         .grace()
         .saturating_sub(END_BEFORE_KILL);
-    loop {
+    sleep(LINGER.min(most)).await;
+    node.closing.notify_one();
+    node.drain.notify_waiters();
+    sleep(LAST_REQUESTS).await;
+    while node.in_flight.get() > 0 && began.elapsed() < most {
         sleep(LOOK).await;
-        let elapsed = began.elapsed();
-        let is_done = node.in_flight.get() == 0 && elapsed >= LINGER;
-        if is_done || elapsed >= most {
-            break;
-        }
     }
     let in_flight = node.in_flight.get();
     node.note(EventCode::Stopped, [("in_flight", in_flight.into())]);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -36,8 +36,10 @@
     pub received: RefCell<Received>,
     /// Told when a peer may know newer rows of the store's tables.
     pub hinted: Notify,
-    /// Told once when the process begins to stop.
+    /// Told once when kept connections of callers are closed.
     pub drain: Notify,
+    /// Told once when no more connections of callers are accepted.
+    pub closing: Notify,
     /// When a generation last arrived here.
     pub last_generation: Cell<Option<Duration>>,
     /// Requests that are not answered in full yet.
@@ -71,6 +73,7 @@
             received: RefCell::default(),
             hinted: Notify::new(),
             drain: Notify::new(),
+            closing: Notify::new(),
             last_generation: Cell::new(None),
             in_flight: Cell::new(0),
             incarnation,
