Admission, engine memory, registration and effects of rows in files of their own

Read as a newcomer: generation.rs (608 lines), callers.rs (526) and feeds.rs (452) did several jobs each.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -8,21 +8,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::header::{self, HeaderMap};
+use http::header;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, QuotaDecision, Route, RouteKind};
+use jacinthlever_routing::{CallerLimits, RouteKind};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use crate::admission::{RETRY_UNPROVED, Trail, accept};
 use crate::answer::{AnswerBody, Verdict};
-use crate::caller_request::{CallerRequest, fingerprint, remove_connection_headers};
+use crate::caller_request::CallerRequest;
 use crate::connection::{Expiry, Watch, Watched};
 use crate::node::Node;
 use crate::{CallerHeaders, EventCode, generation, plain};
@@ -36,12 +35,6 @@
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest time from SIGTERM until a connection of a caller is closed after its answer.
-const RETRY_UNPROVED: Duration = Duration::from_millis(800);
-
-/// Time after which a caller may come back if this instance knows no configuration.
-const RETRY_UNCONFIGURED: Duration = Duration::from_millis(700);
-
 /// Listens for callers.
 ///
 /// # Errors
@@ -240,29 +233,6 @@
     result
 }
 
-/// What is known of a request so far, for the log line of its end.
-struct Trail {
-    request_id: SmolStr,
-    arrived: Duration,
-    route: SmolStr,
-    customer: SmolStr,
-    tokens: u64,
-    config: u64,
-}
-
-impl Trail {
-    fn start(request_id: SmolStr, arrived: Duration) -> Self {
-        Self {
-            request_id,
-            arrived,
-            route: SmolStr::default(),
-            customer: SmolStr::default(),
-            tokens: 0,
-            config: 0,
-        }
-    }
-}
-
 fn note_verdict(node: &Node, trail: &Trail, verdict: &Verdict) {
     let now = node.now();
     let code = match verdict {
@@ -290,179 +260,6 @@
         .answered(&trail.customer, &trail.route, verdict.reason());
 }
 
-/// Whose request it is and where it leads.
-struct Admission {
-    config: Rc<FleetConfig>,
-    route: Route,
-    customer: Option<Customer>,
-    service: SmolStr,
-}
-
-impl Admission {
-    /// Tokens that the request counts as against its customer's limit.
-    fn tokens(&self, headers: &CallerHeaders) -> u64 {
-        let quota = self.customer.as_ref().and_then(|c| c.quota);
-        let plain = quota.map_or(0, |q| q.plain_tokens);
-        let generation = headers.generation;
-        generation.map_or(plain, |g| g.prompt_tokens + g.max_output)
-    }
-}
-
-async fn accept(
-    node: &Rc<Node>,
-    req: Request<Incoming>,
-    headers: CallerHeaders,
-    trail: &mut Trail,
-) -> Result<CallerRequest, Verdict> {
-    let arrived = trail.arrived;
-    let admission = admit(node, &req, &headers, trail)?;
-    trail.tokens = admission.tokens(&headers);
-    let patience = headers.patience.unwrap_or(admission.route.timeout);
-    let give_up = arrived + patience.min(admission.route.timeout);
-    let (parts, body) = req.into_parts();
-    let body = read_body(
-        body,
-        admission.config.limits,
-        give_up.saturating_sub(arrived),
-    )
-    .await?;
-    let now = node.now();
-    let fingerprint = fingerprint(headers.key.as_deref(), &parts.method, &parts.uri, &body);
-    if node.state.borrow().poison.is_poison(now, fingerprint) {
-        let reason = "request crashed the servers that ran it";
-        return Err(Verdict::reject(StatusCode::SERVICE_UNAVAILABLE, reason));
-    }
-    let charged = charge(node, &admission, &headers)?;
-    let settings = node.settings();
-    let mut state = node.state.borrow_mut();
-    state.budget(&settings, &admission.service).request(now);
-    let customer = admission.customer;
-    Ok(CallerRequest {
-        method: parts.method,
-        uri: parts.uri,
-        forwarded: forwarded(parts.headers),
-        headers,
-        body,
-        priority: customer
-            .as_ref()
-            .and_then(|c| c.priority)
-            .unwrap_or(admission.route.priority),
-        route: admission.route,
-        service: admission.service,
-        config: admission.config,
-        customer: customer.map(|c| c.name),
-        arrived,
-        give_up,
-        fingerprint,
-        may_have_run: Cell::new(false),
-        charged,
-    })
-}
-
-fn forwarded(mut headers: HeaderMap) -> HeaderMap {
-    remove_connection_headers(&mut headers);
-    headers.remove(header::CONTENT_LENGTH);
-    headers.remove(header::EXPECT);
-    headers
-}
-
-fn admit(
-    node: &Node,
-    req: &Request<Incoming>,
-    headers: &CallerHeaders,
-    trail: &mut Trail,
-) -> Result<Admission, Verdict> {
-    let now = node.now();
-    let state = node.state.borrow();
-    let Some(config) = state.config.clone() else {
-        return Err(Verdict::unavailable("no configuration", RETRY_UNCONFIGURED));
-    };
-    let is_certain = state.is_certain(now);
-    let keys_are_proved = state.keys_are_proved(now, &node.settings());
-    drop(state);
-    trail.config = config.version;
-    let unknown = |status, reason| match is_certain {
-        true => Verdict::reject(status, reason),
-        false => Verdict::unavailable("configuration may be old", RETRY_UNPROVED),
-    };
-    let host = host_of(req);
-    let Some(route) = config.route(host, req.uri().path()).cloned() else {
-        return Err(unknown(StatusCode::NOT_FOUND, "no such route"));
-    };
-    trail.route = route.name.clone();
-    let customer = if route.is_public || !config.needs_keys {
-        None
-    } else {
-        let key = headers.key.as_deref();
-        let Some(customer) = key.and_then(|key| config.customer_of(key)).cloned() else {
-            return Err(unknown(StatusCode::UNAUTHORIZED, "unknown key"));
-        };
-        trail.customer = customer.name.clone();
-        if !keys_are_proved {
-            return Err(Verdict::unavailable("key is not proved", RETRY_UNPROVED));
-        }
-        Some(customer)
-    };
-    let Some(service) = route.destination(node.draw()).cloned() else {
-        return Err(Verdict::unavailable("route has no service", RETRY_UNPROVED));
-    };
-    Ok(Admission {
-        config,
-        route,
-        customer,
-        service,
-    })
-}
-
-fn host_of(req: &Request<Incoming>) -> &str {
-    let host = req
-        .headers()
-        .get(header::HOST)
-        .and_then(|v| v.to_str().ok());
-    let host = host.or_else(|| req.uri().host()).unwrap_or("");
-    host.split(':').next().unwrap_or(host)
-}
-
-async fn read_body(
-    body: Incoming,
-    limits: CallerLimits,
-    within: Duration,
-) -> Result<Bytes, Verdict> {
-    let read = timeout(within, Limited::new(body, limits.body_bytes).collect()).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Verdict::reject(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body is too long",
-        )),
-        Ok(Err(_)) => Err(Verdict::reject(
-            StatusCode::BAD_REQUEST,
-            "body cannot be read",
-        )),
-        Err(_) => Err(Verdict::reject(
-            StatusCode::REQUEST_TIMEOUT,
-            "body took too long",
-        )),
-    }
-}
-
-/// Charges the customer and returns the tokens that were charged.
-fn charge(node: &Node, admission: &Admission, headers: &CallerHeaders) -> Result<u64, Verdict> {
-    let Some(customer) = &admission.customer else {
-        return Ok(0);
-    };
-    let tokens = admission.tokens(headers);
-    let mut state = node.state.borrow_mut();
-    match state.quotas.charge(node.now(), &customer.name, tokens) {
-        QuotaDecision::Charged => Ok(tokens),
-        QuotaDecision::Over { retry_after } => Err(Verdict::NotRun {
-            status: StatusCode::TOO_MANY_REQUESTS,
-            reason: "customer is over its limit",
-            retry_after: Some(retry_after),
-        }),
-    }
-}
-
 async fn answer(node: &Rc<Node>, req: Rc<CallerRequest>) -> Result<Response<AnswerBody>, Verdict> {
     let left = req.time_left(node.now());
     let answered = timeout(left, forward(node.clone(), req.clone())).await;
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -3,7 +3,6 @@
 //! Memory of decode engines is the scarcest thing, so it is reserved before a prompt is read; see
 //! `docs/design/platform.md`.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,15 +10,15 @@
 use jacinthlever_routing::{
     EngineSpec, EngineStage, Outcome, Pick, RoomPolicy, RoomWait, ServerKey,
 };
-use smol_str::SmolStr;
 use tokio::time::sleep;
 
 use crate::answer::{AnswerBody, Verdict};
 use crate::caller_request::CallerRequest;
+use crate::engine_room::{Kv, Room};
 use crate::exchange::{Exchange, MOST_WHOLE, SendFault, WITHDRAWN, note_fault};
 use crate::node::Node;
 use crate::stream::Pump;
-use crate::{EventCode, KvLocation, ServerHeaders};
+use crate::{EventCode, ServerHeaders};
 
 /// Pause between two rounds of asking engines for room.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
@@ -40,9 +39,6 @@
 /// Part of the pause target for which a decode engine may hold its other answers up.
 const SELF_READ_STALL: f64 = 0.6;
 
-/// Prompts that a decode engine reads by itself at the same time.
-const MOST_SELF_READS: u32 = 1;
-
 /// Prefills of one request that are tried.
 const MOST_PREFILLS: usize = 2;
 
@@ -52,9 +48,6 @@
 /// Part by which the caller's estimate of the output is raised for the reservation.
 const ESTIMATE_MARGIN: f64 = 1.4;
 
-/// Part by which an answer that is longer than estimated should still grow.
-const GROWTH: f64 = 1.15;
-
 /// A generation on its way to its first event.
 pub struct Generation {
     node: Rc<Node>,
@@ -464,145 +457,3 @@
         sent
     }
 }
-
-/// Memory of an engine that is set aside for a request; given back when this is dropped.
-pub struct Room {
-    node: Rc<Node>,
-    /// The engine.
-    pub server: ServerKey,
-    tokens: u64,
-    is_self_reading: bool,
-    /// Reservation at the engine that has not been used yet.
-    pub hold: Option<SmolStr>,
-}
-
-impl Room {
-    fn plan(node: &Rc<Node>, server: ServerKey, tokens: u64) -> Self {
-        if let Some(s) = node.state.borrow_mut().pool.get_mut(server) {
-            s.own_tokens += tokens;
-        }
-        Self {
-            node: node.clone(),
-            server,
-            tokens,
-            is_self_reading: false,
-            hold: None,
-        }
-    }
-
-    /// Tokens that are reserved at the engine by all instances.
-    fn tokens_here(&self, now: Duration) -> u64 {
-        let state = self.node.state.borrow();
-        let server = state.pool.get(self.server);
-        server.map_or(self.tokens, |s| s.reserved_tokens(now))
-    }
-
-    fn was_read(&self, tokens: u64, took: Duration) {
-        let mut state = self.node.state.borrow_mut();
-        if let Some(server) = state.pool.get_mut(self.server) {
-            server.read_prompt(tokens, took);
-        }
-    }
-
-    fn may_self_read(&self) -> bool {
-        let state = self.node.state.borrow();
-        let server = state.pool.get(self.server);
-        server.is_some_and(|s| s.self_reads < MOST_SELF_READS)
-    }
-
-    /// Raises the reservation to what the answer may come to need, now that it is `output` long.
-    pub fn grow(&mut self, prompt_tokens: u64, output: u64) {
-        let tokens = prompt_tokens + (output as f64 * GROWTH) as u64;
-        if tokens <= self.tokens {
-            return;
-        }
-        let mut state = self.node.state.borrow_mut();
-        if let Some(server) = state.pool.get_mut(self.server) {
-            server.own_tokens += tokens - self.tokens;
-            self.tokens = tokens;
-        }
-    }
-
-    /// Counts that the engine reads the prompt by itself.
-    pub fn self_reads(&mut self) {
-        let mut state = self.node.state.borrow_mut();
-        if let Some(server) = state.pool.get_mut(self.server) {
-            server.self_reads += 1;
-            self.is_self_reading = true;
-        }
-    }
-
-    /// Takes in that the first event has come, so the prompt has been read.
-    pub fn has_read(&mut self) {
-        let mut state = self.node.state.borrow_mut();
-        if std::mem::take(&mut self.is_self_reading)
-            && let Some(server) = state.pool.get_mut(self.server)
-        {
-            server.self_reads = server.self_reads.saturating_sub(1);
-        }
-    }
-
-    fn zone(&self) -> SmolStr {
-        let state = self.node.state.borrow();
-        let server = state.pool.get(self.server);
-        server.map_or_else(SmolStr::default, |s| s.entry.zone.clone())
-    }
-}
-
-impl Drop for Room {
-    fn drop(&mut self) {
-        self.has_read();
-        if let Some(s) = self.node.state.borrow_mut().pool.get_mut(self.server) {
-            s.own_tokens = s.own_tokens.saturating_sub(self.tokens);
-        }
-        self.node.room.changed();
-        if let Some(hold) = self.hold.take() {
-            let request = (self.node.adapter.servers.drop_hold)(&hold);
-            let (node, server) = (self.node.clone(), self.server);
-            tokio::task::spawn_local(async move {
-                // A reservation that is not released lapses by itself.
-                let released = Exchange::call(&node, server, request).await;
-                log::debug!("release: {}", released.is_ok());
-            });
-        }
-    }
-}
-
-/// KV cache of a prompt; freed when this is dropped before a decode engine has taken it.
-struct Kv {
-    node: Rc<Node>,
-    server: ServerKey,
-    location: KvLocation,
-    tokens: u64,
-    taken: Cell<bool>,
-}
-
-impl Kv {
-    fn at(node: &Rc<Node>, server: ServerKey, handle: SmolStr, tokens: u64) -> Option<Self> {
-        let state = node.state.borrow();
-        let address = state.pool.get(server)?.entry.address.clone();
-        Some(Self {
-            node: node.clone(),
-            server,
-            location: KvLocation { address, handle },
-            tokens,
-            taken: Cell::new(false),
-        })
-    }
-}
-
-impl Drop for Kv {
-    fn drop(&mut self) {
-        if self.taken.get() {
-            return;
-        }
-        self.node.metrics.wasted_prefill(self.tokens);
-        let request = (self.node.adapter.servers.drop_kv)(&self.location.handle);
-        let (node, server) = (self.node.clone(), self.server);
-        tokio::task::spawn_local(async move {
-            // A handle that is not freed lapses by itself.
-            let freed = Exchange::call(&node, server, request).await;
-            log::debug!("freed: {}", freed.is_ok());
-        });
-    }
-}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -12,7 +12,9 @@
 use tokio::time::sleep;
 
 use crate::node::Node;
-use crate::{Adapter, EventCode, Settings, Table, callers, directory, drain, feeds, peers, stages};
+use crate::{
+    Adapter, EventCode, Settings, Table, callers, directory, drain, feeds, peers, registry, stages,
+};
 
 /// Pause between two rounds of forgetting what is out of date.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
@@ -62,7 +64,7 @@
         let listen = &settings.listen;
         spawn_local(feeds::follow(node.clone(), Table::Config, "config"));
         spawn_local(feeds::follow(node.clone(), Table::Servers, "servers"));
-        spawn_local(feeds::join(node.clone()));
+        spawn_local(registry::join(node.clone()));
         spawn_local(stages::keep(node.clone()));
         spawn_local(sweep(node.clone()));
         let (directory_at, readiness_at) = (listen.directory, listen.readiness);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! at [`Instance::run`]; `docs/design/platform.md` shows the duties and the way of a request.
 
 mod adapter;
+mod admission;
 mod answer;
 mod caller_request;
 mod callers;
@@ -12,6 +13,7 @@
 mod connection;
 mod directory;
 mod drain;
+mod engine_room;
 mod event_code;
 mod exchange;
 mod feeds;
@@ -21,8 +23,10 @@
 mod journal;
 mod metrics;
 mod node;
+mod pause;
 mod peers;
 mod plain;
+mod registry;
 mod room_queue;
 mod settings;
 mod stages;
@@ -30,6 +34,7 @@
 mod store;
 mod stream;
 mod suspects;
+mod tables;
 mod upstreams;
 
 pub use adapter::{
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,9 +15,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::feeds::{apply_passed_on, own_member};
 use crate::freshness::{Change, Freshness};
 use crate::node::Node;
+use crate::registry::own_member;
+use crate::tables::apply_passed_on;
 
 /// Shortest time between two reports to each peer.
 const MIN_INTERVAL: Duration = Duration::from_millis(150);
