--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -7,9 +7,7 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use jacinthlever_routing::{
-    EngineSpec, EngineStage, Outcome, Pick, RoomPolicy, RoomWait, ServerKey,
-};
+use jacinthlever_routing::{EngineSpec, EngineStage, Outcome, Pick, RoomPolicy, ServerKey};
 use tokio::time::sleep;
 
 use crate::answer::{AnswerBody, Verdict};
@@ -211,11 +209,14 @@
         if self.req.may_have_run.get() {
             return Verdict::lost(reason);
         }
-        let policy = RoomPolicy {
-            target_latency: self.req.route.target_latency,
-        };
         let left = self.req.time_left(self.node.now());
-        Verdict::unavailable(reason, policy.retry_after(left, self.node.draw()))
+        Verdict::unavailable(reason, self.policy().retry_after(left, self.node.draw()))
+    }
+
+    fn policy(&self) -> RoomPolicy {
+        RoomPolicy {
+            target_latency: self.req.route.target_latency,
+        }
     }
 
     /// Tokens of engine memory that the request is expected to need.
@@ -230,16 +231,8 @@
     }
 
     async fn reserve(&mut self) -> Result<Room, Verdict> {
-        let policy = RoomPolicy {
-            target_latency: self.req.route.target_latency,
-        };
         let left = self.req.time_left(self.node.now());
-        let until = match policy.wait(self.since, left) {
-            RoomWait::Until(until) => until,
-            RoomWait::Refuse { retry_after } => {
-                return Err(Verdict::unavailable("no engine has room", retry_after));
-            }
-        };
+        let until = self.policy().wait_until(self.since, left);
         let node = self.node.clone();
         let waiting = node.room.join(self.req.priority, until);
         loop {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,7 +22,7 @@
 pub use poison::{Fingerprint, PoisonList};
 pub use quota::{QuotaBook, QuotaDecision};
 pub use resend_budget::ResendBudget;
-pub use room::{RoomPolicy, RoomWait};
+pub use room::RoomPolicy;
 pub use server::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
 pub use server_pool::{Pick, ServerPool};
 pub use stage_plan::{EngineProfile, StageChange, StagePlan};
--- a/crates/routing/src/room.rs
+++ b/crates/routing/src/room.rs
@@ -11,18 +11,6 @@
 /// Longest time after which a refused caller is asked to come back.
 const MAX_RETRY: Duration = Duration::from_secs(4);
 
-/// What to do with a generation for which no engine has room.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RoomWait {
-    /// Wait until then at most.
-    Until(Duration),
-    /// Refuse at once.
-    Refuse {
-        /// When the caller may come back.
-        retry_after: Duration,
-    },
-}
-
 /// Decides about generations that wait for engine memory.
 #[derive(Clone, Copy, Debug)]
 pub struct RoomPolicy {
@@ -32,9 +20,9 @@
 
 impl RoomPolicy {
     /// Returns until when a request waits whose search for engines began at `since`.
-    pub fn wait(&self, since: Duration, time_left: Duration) -> RoomWait {
+    pub fn wait_until(&self, since: Duration, time_left: Duration) -> Duration {
         let usable = self.target_latency.mul_f64(1.0 - PREFILL_PART);
-        RoomWait::Until(since + usable.min(time_left.mul_f64(0.5)))
+        since + usable.min(time_left / 2)
     }
 
     /// Returns when a refused caller may come back; `draw` is a uniform random number below 1.
--- /dev/null
+++ b/crates/routing/tests/routes.rs
@@ -0,0 +1,101 @@
+//! Which route a request takes, and how long generations wait.
+
+use std::time::Duration;
+
+use jacinthlever_routing::{Customer, Destination, FleetConfig, RoomPolicy, Route, RouteKind};
+use smol_str::SmolStr;
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: SmolStr::new(prefix),
+        host: SmolStr::new(host),
+        path_prefix: SmolStr::new(prefix),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(900),
+        pause_target: Duration::from_millis(300),
+        priority: 1,
+        destinations: Vec::new(),
+        max_attempts: 2,
+        is_public: false,
+        is_resumable: false,
+    }
+}
+
+fn config() -> FleetConfig {
+    FleetConfig {
+        routes: vec![
+            route("one", "/book/"),
+            route("one", "/book/crew/"),
+            route("two", "/"),
+        ],
+        ..FleetConfig::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_is_taken() {
+    let config = config();
+    let name = |host, path| config.route(host, path).map(|r| r.name.as_str());
+    assert_eq!(name("one", "/book/crew/7"), Some("/book/crew/"));
+    assert_eq!(name("one", "/book/crews"), Some("/book/"));
+    assert_eq!(name("one", "/book"), None);
+    assert_eq!(name("two", "/book/crew/7"), Some("/"));
+    assert_eq!(name("three", "/"), None);
+}
+
+#[test]
+fn a_split_gives_each_service_its_share() {
+    let mut route = route("one", "/");
+    for (service, weight) in [("most", 90_000), ("none", 0), ("few", 10_000)] {
+        let service = SmolStr::new(service);
+        route.destinations.push(Destination { service, weight });
+    }
+    let draws = (0..1_000).map(|n| f64::from(n) / 1_000.0);
+    let taken: Vec<&str> = draws
+        .filter_map(|draw| route.destination(draw).map(SmolStr::as_str))
+        .collect();
+    let count = |name| taken.iter().filter(|taken| **taken == name).count();
+    assert_eq!((count("most"), count("none"), count("few")), (900, 0, 100));
+}
+
+#[test]
+fn a_key_belongs_to_its_customer_only() {
+    let mut config = config();
+    let customer = Customer {
+        name: SmolStr::new("crews"),
+        priority: None,
+        quota: None,
+    };
+    config.customers.insert(customer.name.clone(), customer);
+    config.keys.insert("k".into(), "crews".into());
+    config.keys.insert("left".into(), "gone".into());
+    let name = |key| config.customer_of(key).map(|c| c.name.as_str());
+    assert_eq!(name("k"), Some("crews"));
+    assert_eq!(name("left"), None);
+    assert_eq!(name("other"), None);
+}
+
+#[test]
+fn a_generation_does_not_wait_longer_than_it_can_be_on_time() {
+    let policy = RoomPolicy {
+        target_latency: Duration::from_millis(900),
+    };
+    let since = Duration::from_secs(5);
+    let wait = |left| policy.wait_until(since, Duration::from_millis(left));
+    let until = |ms| since + Duration::from_millis(ms);
+    assert_eq!(wait(14_000), until(675));
+    assert_eq!(wait(600), until(300));
+}
+
+#[test]
+fn callers_that_are_refused_together_come_back_apart() {
+    let policy = RoomPolicy {
+        target_latency: Duration::from_millis(900),
+    };
+    let left = Duration::from_secs(12);
+    let first = policy.retry_after(left, 0.0);
+    let last = policy.retry_after(left, 0.999);
+    assert!(last - first >= Duration::from_secs(1));
+    assert!(last <= left / 3, "callers come back within a third of it");
+}
