A server's 503, 429, 408 or 421 without its word that it did not run is not passed on

Cause: such a status promises a caller that its request has not run, and only the server's own word says so; a booking answered 503 by a failing server could be sent again by its caller. It is answered 502 now.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -237,6 +237,10 @@
             node.record(server, Outcome::Broken);
             return Err(SendFault::Lost("answer of another request"));
         }
+        if promises_not_run(self.status) {
+            node.record(server, Outcome::Failed);
+            return Err(SendFault::Lost("refusal that does not say it was not run"));
+        }
         let needs_signature = self.status.is_success() && !permit.prefills;
         if needs_signature && !head.is_signed {
             node.record(server, Outcome::Broken);
@@ -396,6 +400,19 @@
     }
 }
 
+/// Whether callers take a status as a promise that the request has not run; see RFC 9110.
+///
+/// A server that does not say so itself gives no such promise, so it is not passed on.
+fn promises_not_run(status: StatusCode) -> bool {
+    [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ]
+    .contains(&status)
+}
+
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let closes = headers
         .get(header::CONNECTION)
