An instance is ready only when it knows the backend servers

Ruled out: the stand-in; with the servers' table refused it happens every time (an_instance_that_knows_no_servers_yet_is_not_ready, which failed before).

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -112,9 +112,10 @@
         self.hinted.1 = self.hinted.1.max(servers.row);
     }
 
-    /// Whether this instance can take requests.
+    /// Whether this instance can take requests: it knows routes and backend servers.
     pub fn is_serving(&self) -> bool {
-        self.config.is_some() && !self.is_draining
+        let knows_servers = self.servers_fresh.proved_ms > 0;
+        self.config.is_some() && knows_servers && !self.is_draining
     }
 
     /// Whether this instance takes requests of all customers.
