--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -78,8 +78,6 @@
     pub kv_tokens: u64,
     /// Tokens in one event of a stream, at most.
     pub tokens_per_event: u32,
-    /// How long an engine keeps the KV cache of a prefill.
-    pub handle_lifetime: Duration,
     /// How long an engine is away while it changes its stage.
     pub stage_switch: Duration,
     /// Longest reservation of memory.
--- a/crates/routing/src/event_stream.rs
+++ b/crates/routing/src/event_stream.rs
@@ -40,11 +40,6 @@
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
     }
-
-    /// Returns the bytes of an event that has not ended yet.
-    pub fn take_partial(&mut self) -> Vec<u8> {
-        mem::take(&mut self.partial)
-    }
 }
 
 fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -6,7 +6,7 @@
 use slotmap::SlotMap;
 use smol_str::SmolStr;
 
-use crate::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
+use crate::{EngineStage, Outcome, Server, ServerEntry, ServerKey};
 
 /// How long a registration that lapsed while the store was away is still used.
 const LAPSED_KEPT: Duration = Duration::from_millis(2000);
@@ -138,11 +138,6 @@
         self.servers.get_mut(key)
     }
 
-    /// Returns a server by its identifier.
-    pub fn by_id(&self, id: &str) -> Option<ServerKey> {
-        self.by_id.get(id).copied()
-    }
-
     /// Returns the identifier of a server for logs; empty if it is gone.
     pub fn id_of(&self, key: ServerKey) -> SmolStr {
         let server = self.servers.get(key);
@@ -280,13 +275,6 @@
         }
     }
 
-    /// Marks a server as leaving, as it said itself.
-    pub fn drains(&mut self, key: ServerKey) {
-        if let Some(server) = self.servers.get_mut(key) {
-            server.entry.state = ServerState::Draining;
-        }
-    }
-
     fn usual(&self, now: Duration, service: &str) -> Usual {
         let mut rates: Vec<f64> = self.of(service).map(|(_, s)| s.failure_rate(now)).collect();
         let mut times: Vec<f64> = self.of(service).filter_map(|(_, s)| s.time()).collect();
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -29,7 +29,6 @@
         slots: 64,
         kv_tokens: MEMORY,
         tokens_per_event: 15,
-        handle_lifetime: Duration::from_millis(500),
         stage_switch: Duration::from_secs(6),
         hold_lifetime: Duration::from_secs(2),
     }
