A generation that waits for room is charged when it has room, not on arrival

Cause: tokens were charged on arrival and given back 0.7 s later when no engine had room, so in a rush every instance refused others of the same customer (429) for tokens that nobody used. And a caller that left while it waited never got them back: only an answer gave back, not its dropping. Ruled out: double counting of digests, refunds that peers miss. Now tokens of a waiting generation are set aside on its instance; the charge follows when it has room, and whatever has not run is given back when the request is dropped. A refusal over a limit now logs rate, burst, level and share of the fleet (JL1511).

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,13 +9,14 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, QuotaDecision, Route};
+use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, Route, RouteKind};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use crate::CallerHeaders;
 use crate::answer::Verdict;
 use crate::caller_request::{CallerRequest, fingerprint, remove_connection_headers};
+use crate::charge::Charge;
 use crate::node::Node;
 
 /// Time after which a caller may come back if the configuration here may be old.
@@ -63,6 +64,12 @@
 }
 
 impl Admission {
+    /// Whether the request may have to wait for memory of an engine.
+    fn waits_for_room(&self) -> bool {
+        let service = self.config.services.get(&self.service);
+        self.route.kind == RouteKind::Stream && service.is_some_and(|s| s.engine.is_some())
+    }
+
     /// Tokens that the request counts as against its customer's limit.
     fn tokens(&self, headers: &CallerHeaders) -> u64 {
         let quota = self.customer.as_ref().and_then(|c| c.quota);
@@ -100,7 +107,7 @@
         let reason = "request crashed the servers that ran it";
         return Err(Verdict::reject(StatusCode::SERVICE_UNAVAILABLE, reason));
     }
-    let charged = charge(node, &admission, &headers)?;
+    let charge = charge(node, &admission, trail)?;
     let settings = node.settings();
     let mut state = node.state.borrow_mut();
     state.budget(&settings, &admission.service).request(now);
@@ -123,7 +130,7 @@
         give_up,
         fingerprint,
         may_have_run: Cell::new(false),
-        charged,
+        charge,
     })
 }
 
@@ -214,19 +221,19 @@
     }
 }
 
-/// Charges the customer and returns the tokens that were charged.
-fn charge(node: &Node, admission: &Admission, headers: &CallerHeaders) -> Result<u64, Verdict> {
+/// Charges the customer. A request that may wait for room only has its tokens set aside.
+fn charge(
+    node: &Rc<Node>,
+    admission: &Admission,
+    trail: &Trail,
+) -> Result<Option<Charge>, Verdict> {
     let Some(customer) = &admission.customer else {
-        return Ok(0);
+        return Ok(None);
     };
-    let tokens = admission.tokens(headers);
-    let mut state = node.state.borrow_mut();
-    match state.quotas.charge(node.now(), &customer.name, tokens) {
-        QuotaDecision::Charged => Ok(tokens),
-        QuotaDecision::Over { retry_after } => Err(Verdict::NotRun {
-            status: StatusCode::TOO_MANY_REQUESTS,
-            reason: "customer is over its limit",
-            retry_after: Some(retry_after),
-        }),
-    }
+    let (id, name) = (&trail.request_id, &customer.name);
+    let charge = match admission.waits_for_room() {
+        true => Charge::set_aside(node, id, name, trail.tokens)?,
+        false => Charge::take(node, id, name, trail.tokens)?,
+    };
+    Ok(Some(charge))
 }
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -11,6 +11,8 @@
 use smol_str::SmolStr;
 
 use crate::CallerHeaders;
+use crate::answer::Verdict;
+use crate::charge::Charge;
 use crate::node::Node;
 
 /// Headers that concern one connection only; see RFC 9110, section 7.6.1.
@@ -55,11 +57,24 @@
     pub fingerprint: Fingerprint,
     /// Whether a backend server may have run it.
     pub may_have_run: Cell<bool>,
-    /// Tokens that its customer was charged.
-    pub charged: u64,
+    /// What it takes out of its customer's limit; `None` on public routes.
+    pub charge: Option<Charge>,
 }
 
 impl CallerRequest {
+    /// Charges the customer, if that has not been done yet.
+    ///
+    /// # Errors
+    /// Fails with a refusal if the customer is over its limit.
+    pub fn confirm_charge(&self) -> Result<(), Verdict> {
+        self.charge.as_ref().map_or(Ok(()), Charge::confirm)
+    }
+
+    /// Returns the tokens that it counts as against its customer's limit.
+    pub fn tokens(&self) -> u64 {
+        self.charge.as_ref().map_or(0, |charge| charge.tokens)
+    }
+
     /// Returns the time that is left for an answer.
     pub fn time_left(&self, now: Duration) -> Duration {
         self.give_up.saturating_sub(now)
@@ -86,6 +101,14 @@
     }
 }
 
+impl Drop for CallerRequest {
+    fn drop(&mut self) {
+        if let Some(charge) = self.charge.as_ref().filter(|_| self.may_have_run.get()) {
+            charge.spend();
+        }
+    }
+}
+
 /// Removes headers that concern one connection only, and those that `Connection` names.
 pub fn remove_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -269,22 +269,12 @@
             false => Verdict::unavailable("no server had room in time", RETRY_UNPROVED),
         })
     });
-    match &result {
-        Ok(response) => note_answer(node, &req, response.status()),
-        Err(Verdict::NotRun { .. }) => refund(node, &req),
-        Err(Verdict::MayHaveRun { .. }) => {}
+    if let Ok(response) = &result {
+        note_answer(node, &req, response.status());
     }
     result
 }
 
-/// Gives a customer back what was charged for a request that did not run.
-fn refund(node: &Node, req: &CallerRequest) {
-    if let Some(customer) = &req.customer {
-        let mut state = node.state.borrow_mut();
-        state.quotas.refund(customer, req.charged);
-    }
-}
-
 fn forward(
     node: Rc<Node>,
     req: Rc<CallerRequest>,
@@ -316,6 +306,7 @@
             ("route", req.route.name.as_str().into()),
             ("customer", req.customer_name().into()),
             ("status", status.as_u16().into()),
+            ("tokens", req.tokens().into()),
             ("took_ms", (took.as_millis() as u64).into()),
             ("config", req.config.version.into()),
         ],
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -54,13 +54,15 @@
     FirstEvent = 1509,
     /// A generation waited for engine memory in vain; what engines looked like.
     NoRoom = 1510,
+    /// A customer is over its limit; what its bucket looked like.
+    OverLimit = 1511,
     /// Lines were left out to bound the volume.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -86,6 +88,7 @@
         Self::Suspected,
         Self::FirstEvent,
         Self::NoRoom,
+        Self::OverLimit,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -173,6 +173,7 @@
                 break;
             }
             let mut room = self.reserve().await?;
+            self.req.confirm_charge()?;
             self.steps.reserved = self.node.now();
             let kv = self.prefill(&room).await?;
             self.steps.read = self.node.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod caller_request;
 mod callers;
+mod charge;
 mod clock;
 mod connection;
 mod directory;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,7 +20,7 @@
 pub use event_stream::{EventSplitter, StreamEvent};
 pub use membership::{Heard, Member, MemberStatus, Membership, ZoneDigest};
 pub use poison::{Fingerprint, PoisonList};
-pub use quota::{QuotaBook, QuotaDecision};
+pub use quota::{OverLimit, QuotaBook, QuotaDecision};
 pub use resend_budget::ResendBudget;
 pub use room::RoomPolicy;
 pub use server::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -7,16 +7,30 @@
 
 use crate::Quota;
 
+/// Longest time after which a caller is told to come back, in seconds.
+const MOST_WAIT_S: f64 = 60.0;
+
 /// Whether a request may go on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaDecision {
-    /// The tokens were charged.
+    /// The tokens were charged, or set aside.
     Charged,
     /// The customer is over its limit.
-    Over {
-        /// When enough tokens will have come back.
-        retry_after: Duration,
-    },
+    Over(OverLimit),
+}
+
+/// Why a request is over its customer's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OverLimit {
+    /// When enough tokens will have come back.
+    pub retry_after: Duration,
+    /// The limit.
+    pub quota: Quota,
+    /// Tokens left in the bucket beside those set aside; below zero if peers have charged more
+    /// than it held.
+    pub level: f64,
+    /// Part of the fleet that hears each other, and so of the rate by which the bucket fills.
+    pub share: f64,
 }
 
 #[derive(Debug)]
@@ -26,6 +40,8 @@
     filled: Duration,
     /// Tokens that this instance has charged since its start.
     charged: u64,
+    /// Tokens of requests here that wait and are not charged yet.
+    set_aside: u64,
 }
 
 /// The buckets of all customers.
@@ -71,6 +87,7 @@
                 level: quota.burst,
                 filled: now,
                 charged: 0,
+                set_aside: 0,
             });
             bucket.fill(now, share);
             bucket.quota = quota;
@@ -92,19 +109,37 @@
         let Some(bucket) = self.buckets.get_mut(customer) else {
             return QuotaDecision::Charged;
         };
-        bucket.fill(now, share);
-        // A request larger than the burst waits for a full bucket.
-        let needed = (tokens as f64).min(bucket.quota.burst);
-        if bucket.level < needed {
-            let rate = (bucket.quota.rate * share).max(1.0);
-            let missing = needed - bucket.level;
-            return QuotaDecision::Over {
-                retry_after: Duration::from_secs_f64((missing / rate).min(60.0)),
-            };
+        let decision = bucket.decide(now, share, tokens, 0);
+        if decision == QuotaDecision::Charged {
+            bucket.level -= tokens as f64;
+            bucket.charged += tokens;
+        }
+        decision
+    }
+
+    /// Sets tokens aside for a request that waits, if its customer's limit allows it and all that
+    /// wait here already.
+    ///
+    /// Nothing is charged, so peers do not take it out of their buckets: a request that finds no
+    /// room in the end has cost its customer nothing anywhere. It is charged with
+    /// [`QuotaBook::charge`], after [`QuotaBook::release`], when it is about to be sent.
+    pub fn set_aside(&mut self, now: Duration, customer: &str, tokens: u64) -> QuotaDecision {
+        let share = self.share.0;
+        let Some(bucket) = self.buckets.get_mut(customer) else {
+            return QuotaDecision::Charged;
+        };
+        let decision = bucket.decide(now, share, tokens, bucket.set_aside);
+        if decision == QuotaDecision::Charged {
+            bucket.set_aside += tokens;
+        }
+        decision
+    }
+
+    /// Releases tokens that were set aside.
+    pub fn release(&mut self, customer: &str, tokens: u64) {
+        if let Some(bucket) = self.buckets.get_mut(customer) {
+            bucket.set_aside = bucket.set_aside.saturating_sub(tokens);
         }
-        bucket.level -= tokens as f64;
-        bucket.charged += tokens;
-        QuotaDecision::Charged
     }
 
     /// Gives back the charge of a request that has not run.
@@ -177,6 +212,25 @@
 }
 
 impl Bucket {
+    /// Decides whether a request fits while others have `set_aside` tokens.
+    fn decide(&mut self, now: Duration, share: f64, tokens: u64, set_aside: u64) -> QuotaDecision {
+        self.fill(now, share);
+        // A request larger than the burst waits for a full bucket.
+        let needed = (tokens as f64).min(self.quota.burst);
+        let level = self.level - set_aside as f64;
+        if level >= needed {
+            return QuotaDecision::Charged;
+        }
+        let rate = (self.quota.rate * share).max(1.0);
+        let wait_s = ((needed - level) / rate).min(MOST_WAIT_S);
+        QuotaDecision::Over(OverLimit {
+            retry_after: Duration::from_secs_f64(wait_s),
+            quota: self.quota,
+            level,
+            share,
+        })
+    }
+
     fn fill(&mut self, now: Duration, share: f64) {
         let elapsed = now.saturating_sub(self.filled).as_secs_f64();
         self.filled = now.max(self.filled);
--- a/crates/routing/tests/quotas.rs
+++ b/crates/routing/tests/quotas.rs
@@ -110,3 +110,36 @@
     assert!(charges(&mut book, Duration::ZERO, 200));
     assert!(!charges(&mut book, Duration::from_millis(500), 100));
 }
+
+fn sets_aside(book: &mut QuotaBook, now: Duration, tokens: u64) -> bool {
+    book.set_aside(now, "crews", tokens) == QuotaDecision::Charged
+}
+
+/// Generations that find no engine memory in a rush must not use up the limit of those that do.
+#[test]
+fn a_rush_that_waits_for_room_in_vain_costs_its_customer_nothing() {
+    let mut book = book(Duration::ZERO);
+    assert!(sets_aside(&mut book, Duration::ZERO, 1_500));
+    assert_eq!(book.charged().map(|(_, n)| n).sum::<u64>(), 0);
+    assert!(charges(&mut book, Duration::ZERO, 600));
+    book.release("crews", 1_500);
+    assert!(sets_aside(&mut book, Duration::ZERO, 1_400));
+}
+
+#[test]
+fn generations_that_wait_here_fit_into_the_limit_together() {
+    let mut book = book(Duration::ZERO);
+    assert!(sets_aside(&mut book, Duration::ZERO, 1_200));
+    assert!(!sets_aside(&mut book, Duration::ZERO, 1_200));
+    assert!(sets_aside(&mut book, Duration::ZERO, 800));
+}
+
+#[test]
+fn a_waiting_generation_is_refused_when_others_have_used_the_limit_up() {
+    let mut book = book(Duration::ZERO);
+    book.heard(Duration::ZERO, "peer", "crews", 0, true);
+    assert!(sets_aside(&mut book, Duration::ZERO, 1_500));
+    book.heard(Duration::ZERO, "peer", "crews", 1_000, true);
+    book.release("crews", 1_500);
+    assert!(!charges(&mut book, Duration::ZERO, 1_500));
+}
