A decode engine reads a long prompt by itself only when that holds nobody up; streams log their end

Cause: after two failed prefills the decode engine read the prompt whatever its length and load. Found with a new log line at the end of each stream (JL1512: outcome, events, longest pause) and a histogram of longest pauses; neither was there, so a stream that came unevenly left no trace. Now a prefill engine that is full of prompts is left out, one that refused may be asked again, and the decode engine reads by itself if it is alone or the stall fits into the pause target; else 503, not run.

--- a/crates/gateway/src/engine_room.rs
+++ b/crates/gateway/src/engine_room.rs
@@ -50,6 +50,11 @@
         server.map_or(self.tokens, |s| s.reserved_tokens(now))
     }
 
+    /// Whether nothing else is reserved at the engine, as far as this instance knows.
+    pub fn is_alone(&self, now: Duration) -> bool {
+        self.tokens_here(now) <= self.tokens
+    }
+
     /// Takes in how long the engine took to read what was reserved there.
     pub fn was_read(&self, tokens: u64, took: Duration) {
         let mut state = self.node.state.borrow_mut();
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -56,13 +56,15 @@
     NoRoom = 1510,
     /// A customer is over its limit; what its bucket looked like.
     OverLimit = 1511,
+    /// A stream has ended; how, and how evenly it came.
+    StreamEnded = 1512,
     /// Lines were left out to bound the volume.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -89,6 +91,7 @@
         Self::FirstEvent,
         Self::NoRoom,
         Self::OverLimit,
+        Self::StreamEnded,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -32,14 +32,21 @@
 const PREFILL_BY: f64 = 0.85;
 
 /// Prompt tokens that a decode engine reads by itself in a millisecond.
-const SELF_READ_TOKENS_PER_MS: f64 = 12.0;
+const SELF_READ_TOKENS_PER_MS: f64 = 15.0;
 
-/// Part of the pause target for which a decode engine may hold its other answers up.
-const SELF_READ_STALL: f64 = 0.6;
+/// Part of the pause target for which a decode engine may hold its other answers up when that
+/// answers sooner.
+const SELF_READ_STALL: f64 = 0.48;
 
-/// Prefills of one request that are tried.
+/// The same when no other engine could read the prompt; the rest is for the step in between.
+const LAST_RESORT_STALL: f64 = 0.85;
+
+/// Prefills of one request that may be lost; each may have been read for nothing.
 const MOST_PREFILLS: usize = 2;
 
+/// Engines that are asked to read one prompt, those that had no room included.
+const MOST_PREFILL_SENDS: u32 = 4;
+
 /// Rounds of reserving, reading and decoding for one attempt of a caller.
 const MOST_ROUNDS: u32 = 3;
 
@@ -278,8 +285,17 @@
     /// Whether the prompt would be read soon enough to reserve memory for its answer now.
     fn can_be_read(&self) -> bool {
         let zone = self.node.settings().zone.clone();
-        let picked = self.pick_prefill(&zone, &[]);
-        picked.is_none_or(|(_, expected)| !self.is_too_late(self.node.now() + expected))
+        match self.pick_prefill(&zone, &[]) {
+            Some((_, expected)) => !self.is_too_late(self.node.now() + expected),
+            // Where no engine has that stage, decode engines read all prompts.
+            None => !self.has_prefill_engines(),
+        }
+    }
+
+    fn has_prefill_engines(&self) -> bool {
+        let state = self.node.state.borrow();
+        let mut engines = state.pool.of(&self.req.service);
+        engines.any(|(_, s)| s.entry.stage == Some(EngineStage::Prefill))
     }
 
     fn decode_candidates(&self, tokens: u64) -> Vec<ServerKey> {
@@ -293,11 +309,8 @@
     fn pick_prefill(&self, zone: &str, tried: &[ServerKey]) -> Option<(ServerKey, Duration)> {
         let pick = self.pick(zone, tried);
         let (tokens, draw) = (self.prompt_tokens(), || self.node.draw());
-        self.node
-            .state
-            .borrow()
-            .pool
-            .pick_prefill(&pick, tokens, draw)
+        let (memory, state) = (self.spec.kv_tokens, self.node.state.borrow());
+        state.pool.pick_prefill(&pick, memory, tokens, draw)
     }
 
     async fn ask_engines(&mut self) -> Option<Room> {
@@ -332,25 +345,43 @@
     async fn prefill(&mut self, room: &Room) -> Result<Option<Kv>, Verdict> {
         let zone = room.zone();
         let mut tried = Vec::new();
-        while tried.len() < MOST_PREFILLS {
+        let mut sends = 0;
+        while sends < MOST_PREFILL_SENDS && tried.len() < MOST_PREFILLS {
+            let now = self.node.now();
             let Some((server, expected)) = self.pick_prefill(&zone, &tried) else {
-                break;
+                let nobody = !self.has_prefill_engines();
+                if nobody || self.may_self_read(room, SELF_READ_STALL) || self.is_too_late(now) {
+                    break;
+                }
+                sleep(ASK_AGAIN).await;
+                continue;
             };
-            let now = self.node.now();
-            if self.is_too_late(now + expected) && self.may_self_read(room) {
+            if self.is_too_late(now + expected) && self.may_self_read(room, SELF_READ_STALL) {
                 break;
             }
             if !self.may_send() {
                 break;
             }
-            tried.push(server);
+            sends += 1;
             match self.read_prompt(server, expected).await {
                 Ok(kv) => return Ok(Some(kv)),
                 Err(WITHDRAWN) => return Err(self.refusal("key is no longer accepted")),
-                Err(fault) => note_fault(&self.node, &self.req, server, fault),
+                Err(fault) => {
+                    note_fault(&self.node, &self.req, server, fault);
+                    // An engine that was full for a moment may be asked again.
+                    if !matches!(fault, SendFault::NotRun(_)) {
+                        tried.push(server);
+                    }
+                }
             }
         }
-        Ok(None)
+        // A stream that has begun is worth a stall of others; one that has not may come back.
+        let has_begun = self.ran > 0;
+        let may_read = self.may_self_read(room, LAST_RESORT_STALL);
+        if may_read || has_begun || !self.has_prefill_engines() {
+            return Ok(None);
+        }
+        Err(self.refusal("no engine could read the prompt"))
     }
 
     fn pick<'a>(&'a self, zone: &'a str, avoid: &'a [ServerKey]) -> Pick<'a> {
@@ -368,10 +399,14 @@
         read > self.since + usable
     }
 
-    /// Whether the decode engine may read the prompt without holding its other answers up long.
-    fn may_self_read(&self, room: &Room) -> bool {
+    /// Whether the decode engine may read the prompt: it has nothing else to do, or holds its other
+    /// answers up for no more than a part of the pause target.
+    fn may_self_read(&self, room: &Room, stall: f64) -> bool {
+        if room.is_alone(self.node.now()) {
+            return true;
+        }
         let stall_ms = self.prompt_tokens() as f64 / SELF_READ_TOKENS_PER_MS;
-        let allowed = self.req.route.pause_target.mul_f64(SELF_READ_STALL);
+        let allowed = self.req.route.pause_target.mul_f64(stall);
         stall_ms <= allowed.as_secs_f64() * 1000.0 && room.may_self_read()
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod state;
 mod store;
 mod stream;
+mod stream_record;
 mod suspects;
 mod tables;
 mod upstreams;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     latency: Histogram<f64>,
+    longest_pause: Histogram<f64>,
     sends: Counter<u64>,
     wasted: Counter<u64>,
     store_calls: Counter<u64>,
@@ -41,9 +42,14 @@
             .f64_histogram("jacinthlever_latency_seconds")
             .with_boundaries(TIME_BOUNDS.to_vec())
             .build();
+        let longest_pause = meter
+            .f64_histogram("jacinthlever_longest_pause_seconds")
+            .with_boundaries(TIME_BOUNDS.to_vec())
+            .build();
         Ok(Self {
             requests: meter.u64_counter("jacinthlever_requests").build(),
             latency,
+            longest_pause,
             sends: meter.u64_counter("jacinthlever_sends").build(),
             wasted: meter
                 .u64_counter("jacinthlever_wasted_prefill_tokens")
@@ -73,6 +79,15 @@
         self.latency.record(took.as_secs_f64(), &labels);
     }
 
+    /// Records the longest pause between two events of a stream.
+    pub fn longest_pause(&self, customer: &str, route: &str, pause: Duration) {
+        let labels = [
+            KeyValue::new("customer", customer.to_string()),
+            KeyValue::new("route", route.to_string()),
+        ];
+        self.longest_pause.record(pause.as_secs_f64(), &labels);
+    }
+
     /// Counts a send to a backend server of a service.
     pub fn sent(&self, service: &str, outcome: &'static str) {
         let labels = [
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 use crate::answer::{Broken, Pieces, Verdict};
 use crate::exchange::{SendFault, note_fault};
 use crate::generation::{Decode, Generation};
+use crate::stream_record::StreamRecord;
 
 /// Latency targets without a first event after which an engine counts as silent.
 const FIRST_EVENT_TARGETS: f64 = 1.5;
@@ -34,6 +35,7 @@
     /// Tokens of output that have come, at most.
     output_tokens: u64,
     is_over: bool,
+    record: StreamRecord,
 }
 
 impl Pump {
@@ -43,6 +45,7 @@
     /// Fails with a verdict that says whether the request may have run.
     pub async fn start(generation: Generation, decode: Decode) -> Result<Self, Verdict> {
         let mut pump = Self {
+            record: StreamRecord::start(generation.node(), generation.req()),
             generation,
             decode: Some(decode),
             events: EventSplitter::default(),
@@ -52,6 +55,7 @@
             output_tokens: 0,
             is_over: false,
         };
+        pump.note_engine();
         match pump.next().await {
             None => pump.is_over = true,
             Some(Ok(first)) => pump.ready = Some(first),
@@ -92,10 +96,14 @@
                     None => SendFault::Lost("event is too long"),
                 },
                 Ok(None) if self.events.has_partial() => SendFault::Lost("event ended early"),
-                Ok(None) => return None,
+                Ok(None) => {
+                    self.record.ended("whole");
+                    return None;
+                }
                 Err(fault) => fault,
             };
             if let Err(broken) = self.resume(fault).await {
+                self.record.ended(broken.0.clone());
                 return Some(Err(broken));
             }
         }
@@ -138,6 +146,7 @@
     /// Puts events together; `None` if one is too long.
     fn take(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let events = self.events.push(bytes)?;
+        self.record.came(events.len() as u64);
         let mut whole = Vec::new();
         for event in events {
             self.has_event = true;
@@ -172,6 +181,7 @@
             Ok(decode) if decode.exchange.status.is_success() => Some(decode),
             Ok(_) | Err(_) => return Err(broken),
         };
+        self.note_engine();
         self.events = EventSplitter::default();
         let req = self.generation.req();
         let fields = [
@@ -183,6 +193,12 @@
         Ok(())
     }
 
+    fn note_engine(&mut self) {
+        if let Some(decode) = &self.decode {
+            self.record.runs_at(decode.exchange.server);
+        }
+    }
+
     fn may_resend(&self) -> bool {
         let node = self.generation.node();
         let settings = node.settings();
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -243,6 +243,11 @@
         self.near_tokens(now) + fresh_sum(&self.zone_tokens, now)
     }
 
+    /// Whether `tokens` more fit into its `memory`.
+    pub fn has_room(&self, now: Duration, memory: u64, tokens: u64) -> bool {
+        self.reserved_tokens(now) + tokens <= memory
+    }
+
     /// Returns the tokens that are reserved here by the instances of this zone.
     pub fn near_tokens(&self, now: Duration) -> u64 {
         self.own_tokens + fresh_sum(&self.peer_tokens, now)
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -179,9 +179,13 @@
 
     /// Picks the engine that should have read a prompt of `tokens` soonest, with the time that it
     /// should take; `draw` gives uniform random numbers below 1.
+    ///
+    /// An engine whose `memory` is full of prompts that wait or have not been taken yet refuses
+    /// another one, so it is left out.
     pub fn pick_prefill(
         &self,
         pick: &Pick<'_>,
+        memory: u64,
         tokens: u64,
         mut draw: impl FnMut() -> f64,
     ) -> Option<(ServerKey, Duration)> {
@@ -192,7 +196,8 @@
             reading + pick.if_far(s, OTHER_ZONE_READ) + failing + SPREAD_READ * draw()
         };
         self.stage(pick, EngineStage::Prefill)
-            .filter(|(_, s)| !s.is_paused(pick.now))
+            .filter(|(_, s)| !s.is_paused(pick.now) && !s.is_full(pick.now))
+            .filter(|(_, s)| s.has_room(pick.now, memory, tokens))
             .map(|(key, s)| (cost(s), key, s))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, key, s)| (key, s.expected_read(pick.now, tokens)))
@@ -216,7 +221,7 @@
         let mut candidates: Vec<(f64, ServerKey)> = self
             .stage(pick, EngineStage::Decode)
             .filter(|(_, s)| !s.is_paused(pick.now) && !s.is_full(pick.now))
-            .filter(|(_, s)| s.reserved_tokens(pick.now) + tokens <= memory)
+            .filter(|(_, s)| s.has_room(pick.now, memory, tokens))
             .map(|(key, s)| (cost(s), key))
             .collect();
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/routing/tests/engine_memory.rs
+++ b/crates/routing/tests/engine_memory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{MEMORY, entry, pick, spec};
-use jacinthlever_routing::{EngineProfile, EngineStage, ServerKey, ServerPool, StagePlan};
+use jacinthlever_routing::{EngineProfile, EngineStage, Outcome, ServerKey, ServerPool, StagePlan};
 use smol_str::SmolStr;
 
 const NOW: Duration = Duration::from_secs(10);
@@ -73,7 +73,7 @@
     if let Some(server) = pool.get_mut(busy) {
         server.own_tokens = 12_000;
     }
-    let picked = pool.pick_prefill(&pick(NOW, &[]), 3_000, || 0.0);
+    let picked = pool.pick_prefill(&pick(NOW, &[]), MEMORY, 3_000, || 0.0);
     assert_eq!(picked.map(|(key, _)| key), Some(idle));
 }
 
@@ -87,7 +87,7 @@
             server.read_prompt(3_000, Duration::from_millis(800));
         }
     }
-    let picked = pool.pick_prefill(&pick(NOW, &[]), 3_000, || 0.0);
+    let picked = pool.pick_prefill(&pick(NOW, &[]), MEMORY, 3_000, || 0.0);
     assert_eq!(picked.map(|(key, _)| key), Some(usual));
 }
 
@@ -144,3 +144,27 @@
         assert!((1..all).contains(&wanted), "{wanted} of {all}");
     }
 }
+
+/// Prompts that come in a rush fill the memory of the engines that read them.
+#[test]
+fn an_engine_full_of_prompts_gets_none_until_some_are_taken() {
+    let mut pool = ServerPool::default();
+    let full = pool.registered(entry("full", "a", PREFILL));
+    let other = pool.registered(entry("other", "b", PREFILL));
+    for (key, tokens) in [(full, MEMORY - 1_000), (other, MEMORY - 9_000)] {
+        if let Some(server) = pool.get_mut(key) {
+            server.own_tokens = tokens;
+        }
+    }
+    let picked = |pool: &ServerPool, tokens| {
+        let picked = pool.pick_prefill(&pick(NOW, &[]), MEMORY, tokens, || 0.0);
+        picked.map(|(key, _)| key)
+    };
+    assert_eq!(picked(&pool, 3_000), Some(other));
+    assert_eq!(picked(&pool, 9_500), None);
+    pool.record(NOW, other, Outcome::Full);
+    assert_eq!(picked(&pool, 3_000), None);
+    let soon = NOW + Duration::from_millis(100);
+    let picked = pool.pick_prefill(&pick(soon, &[]), MEMORY, 3_000, || 0.0);
+    assert_eq!(picked.map(|(key, _)| key), Some(other));
+}
