Proofs are asked for at once after an outage; abandoned registrations are removed; clocks set back

A call now waits only if the proof is fresh. Rows of replaced instances stayed for ever, and whoever started counted them as a part of the fleet for 30 s, which closes customers' limits. Rows are renewed each minute; one that three reads find unchanged is removed under its version (JL1403). 3. A process that started after the time of day was set back was taken for an old one for as long as it lived. It is heard once the later one has been silent for 1.2 s.

--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -34,6 +34,8 @@
     PeerRegained = 1401,
     /// A peer is not heard any more.
     PeerLost = 1402,
+    /// The registration of an instance that is gone for good was removed.
+    InstanceRemoved = 1403,
     /// A request was answered with what a backend server said.
     Answered = 1501,
     /// A request was refused without having run.
@@ -64,7 +66,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -80,6 +82,7 @@
         Self::StageOrdered,
         Self::PeerRegained,
         Self::PeerLost,
+        Self::InstanceRemoved,
         Self::Answered,
         Self::Refused,
         Self::Failed,
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -37,6 +37,14 @@
 /// Pause between two looks at whether this instance must watch.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// Age of a proof from which the store is asked to answer at once: a call that waits for changes
+/// proves nothing before it ends.
+const PROOF_OLD: Duration = Duration::from_millis(500);
+
+/// Time in which a peer that has read newer rows of the servers passes them on; they are read from
+/// the store after that.
+const PASSED_ON_WITHIN: Duration = Duration::from_millis(350);
+
 /// Pauses after a failed call are this much longer if others watch for the zone.
 const NOT_WATCHING: u32 = 3;
 
@@ -47,6 +55,7 @@
         node,
         table,
         version: None,
+        behind_since: None,
         pause: Pause::default(),
     };
     loop {
@@ -61,6 +70,8 @@
     table: Table,
     /// Version of the store up to which changes are known.
     version: Option<u64>,
+    /// When a peer was first known to have newer rows.
+    behind_since: Option<Duration>,
     pause: Pause,
 }
 
@@ -71,12 +82,13 @@
             return self.settle(read).await;
         };
         let is_watching = self.must_watch();
-        if is_watching || self.is_behind() {
-            let wait = if is_watching {
+        if is_watching || self.must_catch_up() {
+            let wait = if is_watching && !self.is_proof_old() {
                 WATCH_WAIT
             } else {
                 Duration::ZERO
             };
+            self.behind_since = None;
             let watched = self.watch(after, wait).await;
             return self.settle(watched).await;
         }
@@ -127,6 +139,25 @@
         age.is_none_or(|age| age > PROOF_OVERDUE + delay)
     }
 
+    /// Whether nobody has proved of late that what is believed is the newest.
+    fn is_proof_old(&self) -> bool {
+        let state = self.node.state.borrow();
+        let age = state.age(self.node.now(), self.freshness(&state));
+        age.is_none_or(|age| age > PROOF_OLD)
+    }
+
+    /// Whether newer rows must be read from the store, as no peer passes them on.
+    fn must_catch_up(&mut self) -> bool {
+        if !self.is_behind() {
+            self.behind_since = None;
+            return false;
+        }
+        let now = self.node.now();
+        let since = *self.behind_since.get_or_insert(now);
+        // Configurations are not passed on.
+        self.table == Table::Config || now >= since + PASSED_ON_WITHIN
+    }
+
     /// Whether a peer knows newer rows.
     fn is_behind(&self) -> bool {
         let state = self.node.state.borrow();
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -64,7 +64,7 @@
         let listen = &settings.listen;
         spawn_local(feeds::follow(node.clone(), Table::Config, "config"));
         spawn_local(feeds::follow(node.clone(), Table::Servers, "servers"));
-        spawn_local(registry::join(node.clone()));
+        spawn_local(registry::keep(node.clone()));
         spawn_local(stages::keep(node.clone()));
         spawn_local(sweep(node.clone()));
         let (directory_at, readiness_at) = (listen.directory, listen.readiness);
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -1,17 +1,25 @@
-//! Registers this instance in the store, and reads which others are registered.
+//! Registers this instance in the store, reads which others are registered, and removes those
+//! that are gone for good.
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use jacinthlever_routing::Member;
+use jacinthlever_routing::{Member, StaleRows};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
 use crate::node::Node;
 use crate::pause::Pause;
-use crate::store::StoreClient;
+use crate::store::{StoreClient, StoreFault, Written};
 use crate::tables::unreadable;
-use crate::{Row, RowWrite, Settings, Table};
+use crate::{EventCode, Row, RowWrite, Settings, Table};
+
+/// Time between two renewals of a registration.
+const RENEW_EVERY: Duration = Duration::from_secs(60);
+
+/// Part by which renewals are spread.
+const RENEW_SPREAD: f64 = 0.2;
 
 /// Registration of an instance, as it is kept in the store.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -41,10 +49,59 @@
     }
 }
 
+/// Keeps this instance registered for as long as the process runs.
+///
+/// The speaker of the first zone removes rows that nobody renews: an instance that is replaced
+/// leaves its row behind, and whoever starts would count it as a part of the fleet.
+pub async fn keep(node: Rc<Node>) {
+    join(node.clone()).await;
+    let mut client = StoreClient::new(node.clone(), "renew");
+    let mut stale = StaleRows::default();
+    loop {
+        let spread = 1.0 + RENEW_SPREAD * (node.draw() - 0.5);
+        sleep(RENEW_EVERY.mul_f64(spread)).await;
+        register(node.clone()).await;
+        if is_first_speaker(&node) {
+            // What could not be removed is found again at the next read.
+            if let Err(fault) = remove_stale(&node, &mut client, &mut stale).await {
+                log::debug!("registrations were not looked through: {fault}");
+            }
+        }
+    }
+}
+
+fn is_first_speaker(node: &Node) -> bool {
+    let (state, now) = (node.state.borrow(), node.now());
+    state.members.rank(now) == 0 && state.members.is_first_zone(now)
+}
+
+async fn remove_stale(
+    node: &Node,
+    client: &mut StoreClient,
+    stale: &mut StaleRows,
+) -> Result<(), StoreFault> {
+    let rows = client.read(Table::Instances).await?.rows;
+    let versions: Vec<_> = rows.into_iter().map(|r| (r.key, r.version)).collect();
+    for (key, version) in stale.read(&versions) {
+        let write = RowWrite {
+            table: Table::Instances,
+            key: key.clone(),
+            value: None,
+            expected: Some(version),
+        };
+        // A conflict means that the instance has come back.
+        if let Written::Done(_) = client.write(&write).await? {
+            let fields = [("instance", key.as_str().into()), ("row", version.into())];
+            node.note(EventCode::InstanceRemoved, fields);
+        }
+    }
+    Ok(())
+}
+
 /// Registers this instance and reads who else is, until the store has answered both.
 ///
 /// Of two instances that start together, the one that reads later sees the other.
-pub async fn join(node: Rc<Node>) {
+async fn join(node: Rc<Node>) {
     register(node.clone()).await;
     let mut client = StoreClient::new(node.clone(), "instances");
     let mut pause = Pause::default();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod server;
 mod server_pool;
 mod stage_plan;
+mod stale_rows;
 
 pub use config::{
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
@@ -26,3 +27,4 @@
 pub use server::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
 pub use server_pool::{Pick, ServerPool};
 pub use stage_plan::{EngineProfile, StageChange, StagePlan};
+pub use stale_rows::StaleRows;
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -127,11 +127,17 @@
         member: Member,
         status: MemberStatus,
     ) -> Heard {
-        let before = self.peers.get(name).and_then(|p| p.status);
+        let known = self.peers.get(name);
+        let is_reachable = known.is_some_and(|p| p.is_reachable(now));
+        let before = known.and_then(|p| p.status);
         let heard = match before {
             None => Heard::New,
-            Some(b) if b.incarnation > status.incarnation => return Heard::Outdated,
-            Some(b) if b.incarnation < status.incarnation => Heard::Restarted,
+            // Starts are told apart by the time of day, which may have been set back: the message
+            // is of a process that has ended only while a later one is heard.
+            Some(b) if b.incarnation > status.incarnation && is_reachable => {
+                return Heard::Outdated;
+            }
+            Some(b) if b.incarnation != status.incarnation => Heard::Restarted,
             Some(_) => Heard::Known,
         };
         let peer = Peer {
--- a/crates/routing/tests/instances.rs
+++ b/crates/routing/tests/instances.rs
@@ -53,6 +53,15 @@
     assert_eq!(hear(&mut members, secs(0.3), "b", 8), Heard::Known);
 }
 
+#[test]
+fn a_process_that_starts_with_its_clock_set_back_is_heard_once_the_old_one_is_silent() {
+    let mut members = members();
+    hear(&mut members, secs(0.0), "b", 2_000);
+    assert_eq!(hear(&mut members, secs(1.0), "b", 500), Heard::Outdated);
+    assert_eq!(hear(&mut members, secs(1.3), "b", 500), Heard::Restarted);
+    assert_eq!(hear(&mut members, secs(1.4), "b", 500), Heard::Known);
+}
+
 #[test]
 fn callers_are_sent_to_reachable_instances_only() {
     let mut members = members();
--- a/crates/routing/tests/registrations.rs
+++ b/crates/routing/tests/registrations.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{entry, pick};
-use jacinthlever_routing::{ServerPool, ServerState};
+use jacinthlever_routing::{ServerPool, ServerState, StaleRows};
 
 const NOW: Duration = Duration::from_secs(10);
 
@@ -72,3 +72,27 @@
     assert_ne!(before, after);
     assert_eq!(pool.get(after).map(|s| s.reserved_tokens(NOW)), Some(0));
 }
+
+/// Instances that are replaced day after day leave their rows in the store.
+#[test]
+fn a_row_that_nobody_renews_is_abandoned_after_some_reads() {
+    let mut rows = StaleRows::default();
+    for renewed in 10..13 {
+        let read = [("gone".into(), 7), ("alive".into(), renewed)];
+        assert!(rows.read(&read).is_empty(), "{renewed}");
+    }
+    let read = [("gone".into(), 7), ("alive".into(), 13)];
+    assert_eq!(rows.read(&read), [("gone".into(), 7)]);
+}
+
+#[test]
+fn a_row_that_is_renewed_or_written_anew_counts_from_the_start() {
+    let mut rows = StaleRows::default();
+    let read = |version| [("late".into(), version)];
+    for _ in 0..3 {
+        assert!(rows.read(&read(7)).is_empty());
+    }
+    assert!(rows.read(&read(8)).is_empty());
+    assert!(rows.read(&[]).is_empty());
+    assert!(rows.read(&read(8)).is_empty());
+}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -121,9 +121,9 @@
 
     /// Takes in that a configuration with a customer's key is about to be written.
     pub fn granted(&mut self, customer: &str, at: Duration) {
-        let last = self.withdrawals.get_mut(customer);
-        if let Some(last) = last.and_then(|l| l.last_mut()) {
-            last.granted_again.get_or_insert(at);
+        // The key is there again, however often it was withdrawn before.
+        for withdrawal in self.withdrawals.get_mut(customer).into_iter().flatten() {
+            withdrawal.granted_again.get_or_insert(at);
         }
     }
 
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -84,6 +84,22 @@
     assert!(found[0].starts_with("late"));
 }
 
+/// Seeds 106, 123, 148 and 150 withdrew the key again before they granted it.
+#[test]
+fn a_key_that_was_withdrawn_twice_is_granted_once() {
+    let mut ledger = Ledger::default();
+    ledger.withdrawn("crews".into(), secs(10));
+    ledger.withdrawn("crews".into(), secs(12));
+    ledger.granted("crews", secs(13));
+    ledger.sent("granted".into(), sent(secs(25), true));
+    ledger.ran("granted".into(), run("crews"));
+    assert_eq!(violations(&ledger), [""; 0]);
+    ledger.withdrawn("crews".into(), secs(30));
+    ledger.sent("late".into(), sent(secs(36), true));
+    ledger.ran("late".into(), run("crews"));
+    assert_eq!(violations(&ledger).len(), 1);
+}
+
 #[test]
 fn a_customer_over_its_limit_is_found_in_any_window() {
     let limit = Limit {
