Help no longer prints the operators' credential

Cause: bpaf shows the value of a variable that it reads itself ([env:NAME = value]). The variable is read after parsing.

--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -101,11 +101,14 @@
         .argument::<String>("IP:PORT")
         .fallback("127.0.0.1:7400".into())
         .display_fallback();
+    // The library prints the value of a variable that it reads itself in the help text.
     let credential = long("credential")
-        .env("JACINTHLEVER_CREDENTIAL")
-        .help("The operators' credential; better set in the environment, where no one reads it")
+        .help(
+            "The operators' credential; better set in JACINTHLEVER_CREDENTIAL, where no one reads it",
+        )
         .argument::<String>("TEXT")
-        .optional();
+        .optional()
+        .map(|given| given.or_else(|| std::env::var("JACINTHLEVER_CREDENTIAL").ok()));
     let json = long("json").help("Print JSON instead of text").switch();
     let command = command();
     construct!(Options {
