Idle connections to a server are shared out over the fleet

Cause: maxConnections was decoded and not used; 32 idle connections an instance are 192 of the 96 that a plain server accepts from 6 instances, beyond which it resets new ones. Half of what a server accepts may be idle, in equal parts. Test: idle_connections_of_all_instances_leave_room_for_calls, 1 to 400 instances.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -292,8 +292,9 @@
         if let Some(sender) = self.sender.take() {
             let node = &self.in_flight.node;
             let now = node.now();
+            let most = node.state.borrow().idle_connections(now, self.server);
             node.upstreams
-                .keep(now, self.server, sender, self.idle_timeout);
+                .keep(now, self.server, most, sender, self.idle_timeout);
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jacinthlever_routing::{
-    FleetConfig, Membership, PoisonList, QuotaBook, ResendBudget, ServerPool,
+    FleetConfig, Membership, PoisonList, QuotaBook, ResendBudget, ServerKey, ServerPool,
 };
 use smol_str::SmolStr;
 
@@ -123,6 +123,15 @@
         self.is_serving() && self.keys_are_proved(now, settings)
     }
 
+    /// Returns how many idle connections this instance may keep to a backend server.
+    pub fn idle_connections(&self, now: Duration, server: ServerKey) -> usize {
+        let service = self.pool.get(server).map(|s| &s.entry.service);
+        let config = self.config.as_ref();
+        let known = service.and_then(|name| config?.services.get(name));
+        let fleet = self.members.fleet_size(now);
+        known.map_or(0, |service| service.idle_connections(fleet))
+    }
+
     /// Returns the budget of resends to a service.
     pub fn budget(&mut self, settings: &Settings, service: &SmolStr) -> &mut ResendBudget {
         let bounds = &settings.bounds;
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -69,11 +69,13 @@
         None
     }
 
-    /// Keeps a connection whose exchange is over; `idle_timeout` is what the server named.
+    /// Keeps a connection whose exchange is over, unless there are `most` already; `idle_timeout`
+    /// is what the server named.
     pub fn keep(
         &self,
         now: Duration,
         server: ServerKey,
+        most: usize,
         sender: SendRequest<Sent>,
         idle_timeout: Option<Duration>,
     ) {
@@ -83,7 +85,7 @@
         }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(server).or_default();
-        if connections.len() < MOST_IDLE {
+        if connections.len() < most.min(MOST_IDLE) {
             connections.push(Idle {
                 sender,
                 usable_until: now + lifetime,
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -93,6 +93,18 @@
     pub engine: Option<EngineSpec>,
 }
 
+/// Part of a server's connections that may be idle ones; the rest is for calls under way.
+const IDLE_PART: f64 = 0.5;
+
+impl Service {
+    /// Returns how many idle connections each of `instances` may keep to one backend server, so
+    /// that all of them together leave room for new ones.
+    pub fn idle_connections(&self, instances: usize) -> usize {
+        let idle = f64::from(self.max_connections) * IDLE_PART;
+        (idle / instances.max(1) as f64) as usize
+    }
+}
+
 /// Limit of a customer over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Quota {
--- a/crates/routing/tests/routes.rs
+++ b/crates/routing/tests/routes.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use jacinthlever_routing::{Customer, Destination, FleetConfig, RoomPolicy, Route, RouteKind};
+use jacinthlever_routing::{
+    Customer, Destination, FleetConfig, RoomPolicy, Route, RouteKind, Service,
+};
 use smol_str::SmolStr;
 
 fn route(host: &str, prefix: &str) -> Route {
@@ -99,3 +101,16 @@
     assert!(last - first >= Duration::from_secs(1));
     assert!(last <= left / 3, "callers come back within a third of it");
 }
+
+/// A server accepts a number of connections from the whole fleet, however large that is.
+#[test]
+fn idle_connections_of_all_instances_leave_room_for_calls() {
+    let service = Service {
+        max_connections: 96,
+        engine: None,
+    };
+    assert_eq!(service.idle_connections(6), 8);
+    for instances in 1..400 {
+        assert!(service.idle_connections(instances) * instances <= 48);
+    }
+}
