--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{Fingerprint, Heard, Member, MemberStatus, ZoneDigest};
+use jacinthlever_routing::{Fingerprint, Heard, Member, MemberStatus, ZoneDigest, report_interval};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
@@ -20,11 +20,8 @@
 use crate::registry::own_member;
 use crate::tables::apply_passed_on;
 
-/// Shortest time between two reports to each peer.
-const MIN_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Time between two reports for each peer in the zone, so that a large zone is not flooded.
-const INTERVAL_A_PEER: Duration = Duration::from_millis(12);
+/// Pause after a datagram could not be received.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Time between two digests for other zones.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -129,8 +126,8 @@
             tell_zones(&node, &socket).await;
             digest_at = Instant::now() + DIGEST_INTERVAL;
         }
-        let peers = node.state.borrow().members.zone_size(node.now()) as u32;
-        let interval = MIN_INTERVAL.max(INTERVAL_A_PEER * peers);
+        let peers = node.state.borrow().members.zone_size(node.now());
+        let interval = report_interval(peers);
         sleep_until(Instant::now() + interval).await;
     }
 }
@@ -246,7 +243,7 @@
             },
             Err(error) => {
                 log::debug!("no datagram was received: {error}");
-                sleep(MIN_INTERVAL).await;
+                sleep(RECEIVE_PAUSE).await;
             }
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,7 +19,7 @@
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
 };
 pub use event_stream::{EventSplitter, StreamEvent};
-pub use membership::{Heard, Member, MemberStatus, Membership, ZoneDigest};
+pub use membership::{Heard, Member, MemberStatus, Membership, ZoneDigest, report_interval};
 pub use poison::{Fingerprint, PoisonList};
 pub use quota::{OverLimit, QuotaBook, QuotaDecision};
 pub use resend_budget::ResendBudget;
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -6,6 +6,22 @@
 
 use smol_str::SmolStr;
 
+/// Shortest time between two reports to each peer of a zone.
+const MIN_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time between two reports for each peer of the zone, so that a large zone is not flooded.
+const INTERVAL_A_PEER: Duration = Duration::from_millis(12);
+
+/// Longest time between two reports: of two in a row one may be lost, and the peer still counts as
+/// reachable.
+const MAX_INTERVAL: Duration = Duration::from_millis(550);
+
+/// Returns the time between two reports to each of the peers of a zone.
+pub fn report_interval(peers: usize) -> Duration {
+    let spread = INTERVAL_A_PEER * u32::try_from(peers).unwrap_or(u32::MAX / 1000);
+    spread.clamp(MIN_INTERVAL, MAX_INTERVAL)
+}
+
 /// Silence after which a peer counts as not reachable.
 const SILENT_AFTER: Duration = Duration::from_millis(1200);
 
--- a/crates/routing/tests/instances.rs
+++ b/crates/routing/tests/instances.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jacinthlever_routing::{Heard, Member, MemberStatus, Membership, ZoneDigest};
+use jacinthlever_routing::{Heard, Member, MemberStatus, Membership, ZoneDigest, report_interval};
 use smol_str::SmolStr;
 
 fn secs(seconds: f64) -> Duration {
@@ -129,3 +129,14 @@
     members.heard_zone(secs(1.0), &zone, digest("h", 3, 3));
     assert_eq!(members.digest_targets(secs(1.5), 2), ["h:76"]);
 }
+
+/// In a zone of a hundred, reports once came as rarely as silence was allowed to last.
+#[test]
+fn a_peer_stays_reachable_in_a_zone_of_any_size_when_one_report_is_lost() {
+    for peers in 1..400 {
+        let mut members = members();
+        hear(&mut members, secs(0.0), "b", 1);
+        let next_but_one = report_interval(peers) * 2;
+        assert_eq!(members.ready(next_but_one), ["b:80"], "{peers} peers");
+    }
+}
