Instances tell each other late charges only

Cause: every report carried the totals of all customers; 2,600 of them are 60 KB, longer than the longest datagram that is read (32 KB), so at the size to design for no instance would hear another. A report now names customers whose total changed in the last 1.5 s, with the total and what it was before; a lost report is made good by the next five. Who has listened to a source for that long takes 'before' as known; for a source that is new here the first total is the base, since its changes may have been told by another (a zone's next speaker). Ruled out: 'before' as the base always, which charges 1.5 s of a zone twice whenever its speaker changes.

--- a/crates/gateway/src/charge.rs
+++ b/crates/gateway/src/charge.rs
@@ -143,7 +143,10 @@
         let mut state = self.node.state.borrow_mut();
         match self.stage.get() {
             Stage::SetAside => state.quotas.release(&self.customer, self.tokens),
-            Stage::Charged => state.quotas.refund(&self.customer, self.tokens),
+            Stage::Charged => {
+                let now = self.node.now();
+                state.quotas.refund(now, &self.customer, self.tokens);
+            }
             Stage::Settled => {}
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{Fingerprint, Heard, Member, MemberStatus, ZoneDigest, report_interval};
+use jacinthlever_routing::{
+    Charged, Fingerprint, Heard, Member, MemberStatus, ZoneDigest, report_interval,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
@@ -36,7 +38,7 @@
 const MOST_BYTES: usize = 32 * 1024;
 
 /// Version of the datagrams; others are ignored.
-const VERSION: u16 = 3;
+const VERSION: u16 = 4;
 
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -69,8 +71,8 @@
     servers: Freshness,
     /// Changes of the servers that this instance has read from the store lately.
     server_changes: Vec<Change>,
-    /// Tokens charged to each customer since the start.
-    charged: Vec<(SmolStr, u64)>,
+    /// Tokens charged to customers since the start.
+    charged: Vec<Charged>,
     /// Tokens reserved at each engine.
     reserved: Vec<(SmolStr, u64)>,
     /// Requests that crashed backend servers, each with how many.
@@ -89,7 +91,7 @@
     size: usize,
     reachable: usize,
     ready: Vec<SmolStr>,
-    charged: Vec<(SmolStr, u64)>,
+    charged: Vec<Charged>,
     reserved: Vec<(SmolStr, u64)>,
     suspects: Vec<(u64, u32)>,
 }
@@ -195,7 +197,7 @@
         config: state.config_fresh,
         servers: state.servers_fresh,
         server_changes,
-        charged: owned(state.quotas.charged()),
+        charged: state.quotas.charged(now),
         reserved: state.pool.own_reserved(),
         suspects: suspects(&state.poison),
         digests,
@@ -219,16 +221,12 @@
         size: state.members.zone_size(now),
         reachable: state.members.zone_reachable(now),
         ready,
-        charged: state.quotas.zone_charged(),
+        charged: state.quotas.zone_charged(now),
         reserved: state.pool.near_reserved(now),
         suspects: suspects(&state.poison),
     }
 }
 
-fn owned<'a>(charged: impl Iterator<Item = (&'a SmolStr, u64)>) -> Vec<(SmolStr, u64)> {
-    charged.map(|(name, n)| (name.clone(), n)).collect()
-}
-
 fn suspects(poison: &jacinthlever_routing::PoisonList) -> Vec<(u64, u32)> {
     poison.suspects().map(|(f, n)| (f.0, n)).collect()
 }
@@ -284,8 +282,9 @@
         Heard::Known | Heard::New => {}
     }
     let is_young = Duration::from_millis(report.uptime_ms) < now;
-    for (customer, tokens) in &report.charged {
-        state.quotas.heard(now, &name, customer, *tokens, is_young);
+    state.quotas.listens(now, &name);
+    for charged in &report.charged {
+        state.quotas.heard(now, &name, charged, is_young);
     }
     state.pool.peer_reserved(now, &name, &report.reserved);
     state.take_suspects(now, &report.suspects);
@@ -315,8 +314,9 @@
     }
     // A speaker that was started anew counts from zero again.
     let source = format!("{}/{}", digest.speaker, digest.incarnation);
-    for (customer, tokens) in &digest.charged {
-        state.quotas.heard_zone(now, &source, customer, *tokens);
+    state.quotas.listens(now, &source);
+    for charged in &digest.charged {
+        state.quotas.heard_zone(now, &source, charged);
     }
     let pool = &mut state.pool;
     pool.zone_reserved(now, &digest.zone, &digest.reserved);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod quota;
 mod resend_budget;
 mod room;
+mod running_total;
 mod server;
 mod server_pool;
 mod stage_plan;
@@ -21,7 +22,7 @@
 pub use event_stream::{EventSplitter, StreamEvent};
 pub use membership::{Heard, Member, MemberStatus, Membership, ZoneDigest, report_interval};
 pub use poison::{Fingerprint, PoisonList};
-pub use quota::{OverLimit, QuotaBook, QuotaDecision};
+pub use quota::{Charged, OverLimit, QuotaBook, QuotaDecision};
 pub use resend_budget::ResendBudget;
 pub use room::RoomPolicy;
 pub use server::{EngineStage, Outcome, Server, ServerEntry, ServerKey, ServerState};
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -3,9 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::Quota;
+use crate::running_total::{RunningTotal, TOLD_FOR};
+
+/// Most customers whose charges go into one message.
+const MOST_TOLD: usize = 400;
 
 /// Longest time after which a caller is told to come back, in seconds.
 const MOST_WAIT_S: f64 = 60.0;
@@ -39,11 +44,25 @@
     level: f64,
     filled: Duration,
     /// Tokens that this instance has charged since its start.
-    charged: u64,
+    charged: RunningTotal,
     /// Tokens of requests here that wait and are not charged yet.
     set_aside: u64,
 }
 
+/// What a customer was charged by the sender of a message, since the start of its process.
+///
+/// Only late changes are told, so a message grows with the customers at work and not with all that
+/// there are.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Charged {
+    /// Customer.
+    pub customer: SmolStr,
+    /// Tokens in all.
+    pub total: u64,
+    /// Tokens before the changes that are told.
+    pub before: u64,
+}
+
 /// The buckets of all customers.
 ///
 /// Every instance keeps the whole bucket of each customer and takes out what it charges itself at
@@ -55,8 +74,10 @@
     buckets: BTreeMap<SmolStr, Bucket>,
     /// What each source has charged to each customer, as of its last message.
     heard: BTreeMap<(SmolStr, SmolStr), u64>,
+    /// When each source was first heard.
+    listening: BTreeMap<SmolStr, Duration>,
     /// What the peers of this zone have charged to each customer since this instance started.
-    near: BTreeMap<SmolStr, u64>,
+    near: BTreeMap<SmolStr, RunningTotal>,
     share: Share,
 }
 
@@ -86,7 +107,7 @@
                 quota,
                 level: quota.burst,
                 filled: now,
-                charged: 0,
+                charged: RunningTotal::default(),
                 set_aside: 0,
             });
             bucket.fill(now, share);
@@ -112,7 +133,7 @@
         let decision = bucket.decide(now, share, tokens, 0);
         if decision == QuotaDecision::Charged {
             bucket.level -= tokens as f64;
-            bucket.charged += tokens;
+            bucket.charged.change(now, tokens as i64);
         }
         decision
     }
@@ -143,58 +164,72 @@
     }
 
     /// Gives back the charge of a request that has not run.
-    pub fn refund(&mut self, customer: &str, tokens: u64) {
+    pub fn refund(&mut self, now: Duration, customer: &str, tokens: u64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
             bucket.level = (bucket.level + tokens as f64).min(bucket.quota.burst);
-            bucket.charged = bucket.charged.saturating_sub(tokens);
+            bucket.charged.change(now, -(tokens as i64));
         }
     }
 
-    /// Returns what this instance has charged to each customer since its start.
-    pub fn charged(&self) -> impl Iterator<Item = (&SmolStr, u64)> {
-        self.buckets.iter().map(|(name, b)| (name, b.charged))
+    /// Returns what this instance has charged since its start, for customers with late changes.
+    pub fn charged(&self, now: Duration) -> Vec<Charged> {
+        let own = self.buckets.iter();
+        told(own.map(|(name, b)| (name, b.charged.total(), b.charged.before(now))))
+    }
+
+    /// Takes in that a message of a source came, whatever it tells of charges.
+    pub fn listens(&mut self, now: Duration, source: &str) {
+        if !self.listening.contains_key(source) {
+            self.listening.insert(SmolStr::new(source), now);
+        }
     }
 
     /// Takes in what a peer of this zone has charged to a customer since the peer's start.
     ///
-    /// Of a peer that is new here but not new itself, only what it charges from now on counts:
-    /// what it charged before was no business of this instance's bucket.
-    pub fn heard(
-        &mut self,
-        now: Duration,
-        peer: &str,
-        customer: &str,
-        charged: u64,
-        is_young: bool,
-    ) {
-        let change = self.change(peer, customer, charged, is_young);
-        let near = self.near.entry(SmolStr::new(customer)).or_default();
-        *near = near.saturating_add_signed(change);
-        self.debit(now, customer, change);
+    /// Of a peer that is new here but not new itself, only late changes count: what it charged
+    /// before was no business of this instance's bucket.
+    pub fn heard(&mut self, now: Duration, peer: &str, charged: &Charged, is_young: bool) {
+        let change = self.take_change(now, peer, charged, is_young);
+        let near = self.near.entry(charged.customer.clone()).or_default();
+        if change != 0 {
+            near.change(now, change);
+        }
+        self.debit(now, &charged.customer, change);
     }
 
     /// Takes in what a whole other zone has charged, as its speaker has counted.
-    pub fn heard_zone(&mut self, now: Duration, speaker: &str, customer: &str, charged: u64) {
-        let change = self.change(speaker, customer, charged, false);
-        self.debit(now, customer, change);
+    pub fn heard_zone(&mut self, now: Duration, speaker: &str, charged: &Charged) {
+        let change = self.take_change(now, speaker, charged, false);
+        self.debit(now, &charged.customer, change);
     }
 
-    /// Returns what this zone has charged to each customer, as this instance has counted.
-    pub fn zone_charged(&self) -> Vec<(SmolStr, u64)> {
-        let own = |name: &SmolStr| self.buckets.get(name).map_or(0, |b| b.charged);
-        let near = |name: &SmolStr| self.near.get(name).copied().unwrap_or(0);
-        self.buckets
-            .keys()
-            .map(|name| (name.clone(), own(name) + near(name)))
-            .collect()
+    /// Returns what this zone has charged, as this instance has counted, for customers with late
+    /// changes.
+    pub fn zone_charged(&self, now: Duration) -> Vec<Charged> {
+        let idle = RunningTotal::default();
+        told(self.buckets.iter().map(|(name, bucket)| {
+            let (own, near) = (&bucket.charged, self.near.get(name).unwrap_or(&idle));
+            let total = own.total() + near.total();
+            (name, total, own.before(now) + near.before(now))
+        }))
     }
 
-    fn change(&mut self, source: &str, customer: &str, charged: u64, is_young: bool) -> i64 {
-        let key = (SmolStr::new(source), SmolStr::new(customer));
-        let before = self.heard.insert(key, charged);
-        let known = before.unwrap_or(if is_young { 0 } else { charged });
+    /// Returns the tokens that a source has charged to a customer since it was last heard of.
+    ///
+    /// A source that has been listened to for as long as changes are told has charged nothing that
+    /// it did not tell, so of a customer that it never named all told changes count. Of one that is
+    /// new here they may be older, and may have been told by another.
+    fn take_change(&mut self, now: Duration, source: &str, charged: &Charged, young: bool) -> i64 {
+        let since = self.listening.get(source).copied().unwrap_or(now);
+        let key = (SmolStr::new(source), charged.customer.clone());
+        let known = self.heard.insert(key, charged.total);
+        let known = known.unwrap_or(match young {
+            true => 0,
+            false if now >= since + TOLD_FOR => charged.before,
+            false => charged.total,
+        });
         // A refund at the source makes its count go back.
-        charged as i64 - known as i64
+        charged.total as i64 - known as i64
     }
 
     fn debit(&mut self, now: Duration, customer: &str, tokens: i64) {
@@ -208,7 +243,25 @@
     /// Forgets the counts of a peer that has started anew.
     pub fn forget_peer(&mut self, peer: &str) {
         self.heard.retain(|(name, _), _| name != peer);
+        self.listening.remove(peer);
+    }
+}
+
+/// Returns the customers with late changes; those with the largest, if there are too many.
+fn told<'a>(totals: impl Iterator<Item = (&'a SmolStr, u64, u64)>) -> Vec<Charged> {
+    let changed = totals.filter(|(_, total, before)| total != before);
+    let mut told: Vec<Charged> = changed
+        .map(|(customer, total, before)| Charged {
+            customer: customer.clone(),
+            total,
+            before,
+        })
+        .collect();
+    if told.len() > MOST_TOLD {
+        told.sort_by_key(|c| std::cmp::Reverse(c.total.abs_diff(c.before)));
+        told.truncate(MOST_TOLD);
     }
+    told
 }
 
 impl Bucket {
