--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -79,6 +79,16 @@
     pub read: Duration,
 }
 
+/// Who should read a prompt next.
+enum Reader {
+    /// A prefill engine, which should take so long.
+    Engine(ServerKey, Duration),
+    /// None; the decode engine, if it may.
+    NoEngine,
+    /// All are full or silent for the moment.
+    Later,
+}
+
 /// A running decode.
 pub struct Decode {
     /// The stream.
@@ -347,18 +357,14 @@
         let mut tried = Vec::new();
         let mut sends = 0;
         while sends < MOST_PREFILL_SENDS && tried.len() < MOST_PREFILLS {
-            let now = self.node.now();
-            let Some((server, expected)) = self.pick_prefill(&zone, &tried) else {
-                let nobody = !self.has_prefill_engines();
-                if nobody || self.may_self_read(room, SELF_READ_STALL) || self.is_too_late(now) {
-                    break;
+            let (server, expected) = match self.next_reader(room, &zone, &tried) {
+                Reader::Engine(server, expected) => (server, expected),
+                Reader::NoEngine => break,
+                Reader::Later => {
+                    sleep(ASK_AGAIN).await;
+                    continue;
                 }
-                sleep(ASK_AGAIN).await;
-                continue;
             };
-            if self.is_too_late(now + expected) && self.may_self_read(room, SELF_READ_STALL) {
-                break;
-            }
             if !self.may_send() {
                 break;
             }
@@ -384,6 +390,20 @@
         Err(self.refusal("no engine could read the prompt"))
     }
 
+    fn next_reader(&self, room: &Room, zone: &str, tried: &[ServerKey]) -> Reader {
+        let now = self.node.now();
+        let may_self_read = self.may_self_read(room, SELF_READ_STALL);
+        match self.pick_prefill(zone, tried) {
+            Some((_, expected)) if may_self_read && self.is_too_late(now + expected) => {
+                Reader::NoEngine
+            }
+            Some((server, expected)) => Reader::Engine(server, expected),
+            None if may_self_read || self.is_too_late(now) => Reader::NoEngine,
+            None if !self.has_prefill_engines() => Reader::NoEngine,
+            None => Reader::Later,
+        }
+    }
+
     fn pick<'a>(&'a self, zone: &'a str, avoid: &'a [ServerKey]) -> Pick<'a> {
         Pick {
             now: self.node.now(),
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -3,11 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::Quota;
 use crate::running_total::{RunningTotal, TOLD_FOR};
+use crate::{Charged, OverLimit, Quota};
 
 /// Most customers whose charges go into one message.
 const MOST_TOLD: usize = 400;
@@ -24,20 +23,6 @@
     Over(OverLimit),
 }
 
-/// Why a request is over its customer's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct OverLimit {
-    /// When enough tokens will have come back.
-    pub retry_after: Duration,
-    /// The limit.
-    pub quota: Quota,
-    /// Tokens left in the bucket beside those set aside; below zero if peers have charged more
-    /// than it held.
-    pub level: f64,
-    /// Part of the fleet that hears each other, and so of the rate by which the bucket fills.
-    pub share: f64,
-}
-
 #[derive(Debug)]
 struct Bucket {
     quota: Quota,
@@ -49,20 +34,6 @@
     set_aside: u64,
 }
 
-/// What a customer was charged by the sender of a message, since the start of its process.
-///
-/// Only late changes are told, so a message grows with the customers at work and not with all that
-/// there are.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Charged {
-    /// Customer.
-    pub customer: SmolStr,
-    /// Tokens in all.
-    pub total: u64,
-    /// Tokens before the changes that are told.
-    pub before: u64,
-}
-
 /// The buckets of all customers.
 ///
 /// Every instance keeps the whole bucket of each customer and takes out what it charges itself at
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,10 +4,12 @@
 //! [`Ledger`] keeps what callers asked and got and what backend servers ran, and checks the
 //! promises. The programs are started, and their dialect is spoken, by the test that uses these.
 
+mod fault;
 mod ledger;
 mod plan;
 mod proxy;
 
+pub use fault::{Fault, LinkFault, ServerFault, StoreFault};
 pub use ledger::{Answered, Ledger, Limit, Run, Sent};
-pub use plan::{Fault, Fleet, LinkFault, Plan, ServerFault, StoreFault, Strike};
+pub use plan::{Fleet, Plan, Strike};
 pub use proxy::{Harm, Proxy};
