One place says what a generation is, and who has the fleet's single duties

Cause: admission (whose tokens are set aside) and forwarding (who waits for engine memory) each looked up the service's engine and the route's kind; had they come apart, a generation would never have been charged. FleetConfig::generates answers both. The registry repeated the stages' test of the first zone's speaker: Membership::is_first_speaker. No behaviour changes.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,7 +9,7 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, Route, RouteKind};
+use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, Route};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -66,8 +66,8 @@
 impl Admission {
     /// Whether the request may have to wait for memory of an engine.
     fn waits_for_room(&self) -> bool {
-        let service = self.config.services.get(&self.service);
-        self.route.kind == RouteKind::Stream && service.is_some_and(|s| s.engine.is_some())
+        let engine = self.config.generates(&self.route, &self.service);
+        engine.is_some()
     }
 
     /// Tokens that the request counts as against its customer's limit.
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -279,14 +279,11 @@
     node: Rc<Node>,
     req: Rc<CallerRequest>,
 ) -> impl Future<Output = Result<Response<AnswerBody>, Verdict>> {
-    let engine = req.config.services.get(&req.service);
-    let engine = engine.and_then(|s| s.engine.clone());
+    let engine = req.config.generates(&req.route, &req.service).cloned();
     async move {
         match engine {
-            Some(spec) if req.route.kind == RouteKind::Stream => {
-                generation::answer(node, req, spec).await
-            }
-            _ => plain::answer(node, req).await,
+            Some(spec) => generation::answer(node, req, spec).await,
+            None => plain::answer(node, req).await,
         }
     }
 }
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -61,7 +61,8 @@
         let spread = 1.0 + RENEW_SPREAD * (node.draw() - 0.5);
         sleep(RENEW_EVERY.mul_f64(spread)).await;
         register(node.clone()).await;
-        if is_first_speaker(&node) {
+        let removes = node.state.borrow().members.is_first_speaker(node.now());
+        if removes {
             // What could not be removed is found again at the next read.
             if let Err(fault) = remove_stale(&node, &mut client, &mut stale).await {
                 log::debug!("registrations were not looked through: {fault}");
@@ -70,11 +71,6 @@
     }
 }
 
-fn is_first_speaker(node: &Node) -> bool {
-    let (state, now) = (node.state.borrow(), node.now());
-    state.members.rank(now) == 0 && state.members.is_first_zone(now)
-}
-
 async fn remove_stale(
     node: &Node,
     client: &mut StoreClient,
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -104,7 +104,7 @@
     /// The speaker of the first zone orders; a row in the store keeps a second one from it.
     fn is_candidate(&self, now: Duration) -> bool {
         let state = self.node.state.borrow();
-        state.is_serving() && state.members.rank(now) == 0 && state.members.is_first_zone(now)
+        state.is_serving() && state.members.is_first_speaker(now)
     }
 
     fn has_traffic(&self, now: Duration) -> bool {
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -179,6 +179,13 @@
             .max_by_key(|r| r.path_prefix.len())
     }
 
+    /// Returns what the engines of a service can hold if requests of a route are generations there;
+    /// others go to it as plain calls.
+    pub fn generates(&self, route: &Route, service: &str) -> Option<&EngineSpec> {
+        let engine = self.services.get(service)?.engine.as_ref();
+        engine.filter(|_| route.kind == RouteKind::Stream)
+    }
+
     /// Returns the customer that holds a key.
     pub fn customer_of(&self, key: &str) -> Option<&Customer> {
         self.customers.get(self.keys.get(key)?)
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -223,6 +223,12 @@
         heard.map(|(zone, _)| zone).all(|zone| self.zone < *zone)
     }
 
+    /// Whether this instance speaks for the first zone, and so has the duties that one instance of
+    /// the fleet should have.
+    pub fn is_first_speaker(&self, now: Duration) -> bool {
+        self.rank(now) == 0 && self.is_first_zone(now)
+    }
+
     /// Returns the addresses for callers of the instances that take requests, this one left out.
     pub fn ready(&self, now: Duration) -> Vec<SmolStr> {
         let near = self
