gateway: say how much of an answer of the store arrived

JL1102 now has received_bytes and took_ms and names an incomplete answer, JL1201 has the size of the configuration, and two metrics count the bytes and the time of answers by duty, apart for complete ones. An answer over the size limit has an error of its own. No decision changes.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     sends: Counter<u64>,
     wasted_prefill_tokens: Counter<u64>,
     store_calls: Counter<u64>,
+    store_answer_time: Histogram<f64>,
+    store_answer_bytes: Counter<u64>,
 }
 
 impl Metrics {
@@ -46,6 +48,10 @@
             .f64_histogram("jacinthlever_longest_pause_seconds")
             .with_boundaries(TIME_BOUNDS_S.to_vec())
             .build();
+        let store_answer_time = meter
+            .f64_histogram("jacinthlever_store_answer_seconds")
+            .with_boundaries(TIME_BOUNDS_S.to_vec())
+            .build();
         Ok(Self {
             requests: meter.u64_counter("jacinthlever_requests").build(),
             latency,
@@ -55,6 +61,8 @@
                 .u64_counter("jacinthlever_wasted_prefill_tokens")
                 .build(),
             store_calls: meter.u64_counter("jacinthlever_store_calls").build(),
+            store_answer_time,
+            store_answer_bytes: meter.u64_counter("jacinthlever_store_answer_bytes").build(),
             registry,
             _provider: provider,
         })
@@ -107,6 +115,23 @@
         self.store_calls.add(1, &[KeyValue::new("duty", duty)]);
     }
 
+    /// Records the time until a call to the store ended, and the bytes of the answer's body that
+    /// arrived by then; `is_complete` tells whether that was the whole answer.
+    pub fn record_store_answer(
+        &self,
+        duty: &'static str,
+        is_complete: bool,
+        took: Duration,
+        bytes: usize,
+    ) {
+        let labels = [
+            KeyValue::new("duty", duty),
+            KeyValue::new("complete", is_complete),
+        ];
+        self.store_answer_time.record(took.as_secs_f64(), &labels);
+        self.store_answer_bytes.add(bytes as u64, &labels);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::timeout;
 
@@ -28,6 +29,11 @@
     Unreachable,
     /// There was no answer; a write may have been carried out, or may be later.
     Unanswered,
+    /// The answer broke off or stopped after this number of bytes of its body; a write was carried
+    /// out.
+    Incomplete(usize),
+    /// The answer is larger than [`MAX_ANSWER_BYTES`].
+    TooLarge,
     /// The store refused the call with this status; the call was not carried out.
     Refused(StatusCode),
     /// The answer cannot be decoded, or the call cannot be encoded; holds the cause.
@@ -39,6 +45,12 @@
         match self {
             Self::Unreachable => write!(f, "no connection to the store"),
             Self::Unanswered => write!(f, "no answer from the store"),
+            Self::Incomplete(bytes) => {
+                write!(f, "answer of the store incomplete after {bytes} bytes")
+            }
+            Self::TooLarge => {
+                write!(f, "answer of the store exceeds {MAX_ANSWER_BYTES} bytes")
+            }
             Self::Refused(status) => write!(f, "store refused the call with status {status}"),
             Self::Unreadable(cause) => write!(f, "answer of the store cannot be decoded: {cause}"),
         }
@@ -60,6 +72,10 @@
     /// Name of the purpose in logs and metrics.
     duty: &'static str,
     connection: Option<SendRequest<RequestBody>>,
+    /// When the present call was sent.
+    sent_at: Duration,
+    /// Number of bytes of the body of the present answer received so far.
+    received: usize,
     is_lost: bool,
     recovered_at: Option<Duration>,
 }
@@ -72,6 +88,8 @@
             cx,
             duty,
             connection: None,
+            sent_at: Duration::ZERO,
+            received: 0,
             is_lost: false,
             recovered_at: None,
         }
@@ -163,8 +181,17 @@
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         self.cx.metrics.count_store_call(self.duty);
+        self.sent_at = self.cx.now();
+        self.received = 0;
         let answer = timeout(wait + ANSWER_TIMEOUT, self.send(call)).await;
-        let result = answer.unwrap_or(Err(StoreError::Unanswered));
+        let result = answer.unwrap_or(Err(match self.received {
+            0 => StoreError::Unanswered,
+            bytes => StoreError::Incomplete(bytes),
+        }));
+        let took = self.cx.now().saturating_sub(self.sent_at);
+        self.cx
+            .metrics
+            .record_store_answer(self.duty, result.is_ok(), took, self.received);
         match result {
             Ok((status, bytes)) if status.is_server_error() || status.as_u16() == 429 => {
                 drop(bytes);
@@ -201,14 +228,27 @@
         let response = sender.send_request(request).await;
         let response = response.map_err(|_| StoreError::Unanswered)?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
-            .await;
-        let bytes = body.map_err(|_| StoreError::Unanswered)?.to_bytes();
+        let bytes = self.receive_body(response.into_body()).await?;
         self.connection = Some(sender);
         Ok((status, bytes))
     }
 
+    async fn receive_body(&mut self, mut body: Incoming) -> Result<Bytes, StoreError> {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| StoreError::Incomplete(self.received))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.received += data.len();
+            if self.received > MAX_ANSWER_BYTES {
+                return Err(StoreError::TooLarge);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    }
+
     fn record_answer(&mut self) {
         if std::mem::take(&mut self.is_lost) {
             self.recovered_at = Some(self.cx.now());
@@ -218,12 +258,15 @@
     }
 
     fn record_error(&mut self, error: StoreError) -> StoreError {
+        let took_ms = self.cx.now().saturating_sub(self.sent_at).as_millis() as u64;
         if !std::mem::replace(&mut self.is_lost, true) {
             self.cx.log(
                 EventCode::StoreLost,
                 [
                     ("duty", self.duty.into()),
                     ("cause", error.to_string().into()),
+                    ("received_bytes", self.received.into()),
+                    ("took_ms", took_ms.into()),
                 ],
             );
         }
--- a/crates/gateway/src/table_updates.rs
+++ b/crates/gateway/src/table_updates.rs
@@ -70,7 +70,11 @@
     let number = config.version;
     let applied = cx.state.borrow_mut().apply(cx.now(), row.version, config);
     if applied {
-        let fields = [("version", number.into()), ("row", row.version.into())];
+        let fields = [
+            ("version", number.into()),
+            ("row", row.version.into()),
+            ("bytes", value.len().into()),
+        ];
         cx.log(EventCode::ConfigApplied, fields);
     }
     true
