gateway: no time limit for a complete answer of the store

A call to the store had 0.9 s for the complete answer. 1 MB takes 0.84 s on a link of 10 Mbit/s that carries nothing else, so the call was abandoned, its bytes were thrown away, and the next one started from zero at the full rate of the link. An instance that starts with such a configuration never became ready.

The class: a deadline for a transfer of unknown size that restarts from zero. The limit now applies to the beginning of the answer and to each pause in it; a store that stops answering is found as soon as before.

The time limit also bounded how late an instance could start to send role changes after the write that gives it the right to. That period is now counted from when the write was sent, 1.5 s, which is the 0.9 s plus 0.6 s of before.

--- a/crates/gateway/src/role_coordinator.rs
+++ b/crates/gateway/src/role_coordinator.rs
@@ -34,8 +34,11 @@
 /// Time after the end of a role change by which the list of servers should show the new role.
 const REGISTRATION_DELAY: Duration = Duration::from_secs(4);
 
-/// Time after the write of the row during which role changes may be sent.
-const SEND_PERIOD: Duration = Duration::from_millis(600);
+/// Time after the write of the row was sent during which role changes may be sent.
+///
+/// It is shorter than a lease, and another instance counts the lease from when it sees the row, so it
+/// holds however late the answer to the write arrives.
+const SEND_PERIOD: Duration = Duration::from_millis(1500);
 
 /// Maximum number of role changes that are sent concurrently.
 const MAX_CONCURRENT_CHANGES: usize = 8;
@@ -72,6 +75,15 @@
     not_before: Duration,
 }
 
+/// Permission to send role changes.
+#[derive(Clone, Copy, Debug)]
+struct Fence {
+    /// Fencing token: the version of the row.
+    token: u64,
+    /// When the write of the row was sent.
+    written_at: Duration,
+}
+
 /// A service with the wrong mix of roles.
 struct Imbalance {
     spec: EngineSpec,
@@ -94,7 +106,7 @@
             return;
         }
         match self.acquire().await {
-            Ok(Some(token)) => self.send_changes(&imbalance, token).await,
+            Ok(Some(fence)) => self.send_changes(&imbalance, fence).await,
             Ok(None) => self.postpone(self.takeover_after()),
             Err(error) => {
                 log::debug!("role planning postponed, the store call failed: {error}");
@@ -127,9 +139,8 @@
         })
     }
 
-    /// Acquires or renews the ownership of the row and returns its new version, the fencing token;
-    /// `None` if another instance may still own it.
-    async fn acquire(&mut self) -> Result<Option<u64>, StoreError> {
+    /// Acquires or renews the ownership of the row; `None` if another instance may still own it.
+    async fn acquire(&mut self) -> Result<Option<Fence>, StoreError> {
         let expected = match self.owned_version {
             Some(version) => version,
             None => match self.free_row().await? {
@@ -143,11 +154,13 @@
             value: Some(self.cx.settings().instance.as_bytes().to_vec()),
             expected: Some(expected),
         };
+        let written_at = self.cx.now();
         self.owned_version = match self.client.write(&write).await? {
             WriteResult::Done(version) => Some(version),
             WriteResult::Conflict => None,
         };
-        Ok(self.owned_version)
+        let fence = |token| Fence { token, written_at };
+        Ok(self.owned_version.map(fence))
     }
 
     /// Returns the version of the row once no other instance can be using it; `None` if it changed
@@ -182,15 +195,15 @@
         self.not_before = self.cx.now() + by;
     }
 
-    async fn send_changes(&mut self, imbalance: &Imbalance, token: u64) {
-        let until = self.cx.now() + SEND_PERIOD;
+    async fn send_changes(&mut self, imbalance: &Imbalance, fence: Fence) {
+        let until = fence.written_at + SEND_PERIOD;
         for changes in imbalance.changes.chunks(MAX_CONCURRENT_CHANGES) {
             if self.cx.now() >= until {
                 break;
             }
             let sends = changes
                 .iter()
-                .map(|change| self.send_change(*change, token));
+                .map(|change| self.send_change(*change, fence.token));
             join_all(sends).await;
         }
         // The list of servers shows new roles only after the engines have changed.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -19,8 +19,12 @@
 /// Maximum size of an answer of the store, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Time limit for an answer, beyond the time for which the call asks the store to wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time limit until an answer begins, beyond the time for which the call asks the store to wait, and
+/// between two pieces of its body.
+///
+/// The complete answer has no time limit: the time that a large one takes depends on the link, and a
+/// call that is abandoned while bytes arrive has to start from zero.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Error of a call to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -183,11 +187,7 @@
         self.cx.metrics.count_store_call(self.duty);
         self.sent_at = self.cx.now();
         self.received = 0;
-        let answer = timeout(wait + ANSWER_TIMEOUT, self.send(call)).await;
-        let result = answer.unwrap_or(Err(match self.received {
-            0 => StoreError::Unanswered,
-            bytes => StoreError::Incomplete(bytes),
-        }));
+        let result = self.exchange(call, wait).await;
         let took = self.cx.now().saturating_sub(self.sent_at);
         self.cx
             .metrics
@@ -209,7 +209,25 @@
         }
     }
 
-    async fn send(&mut self, call: StoreRequest) -> Result<(StatusCode, Bytes), StoreError> {
+    async fn exchange(
+        &mut self,
+        call: StoreRequest,
+        wait: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let (response, sender) = timeout(wait + PROGRESS_TIMEOUT, self.send(call))
+            .await
+            .unwrap_or(Err(StoreError::Unanswered))?;
+        let status = response.status();
+        let bytes = self.receive_body(response.into_body()).await?;
+        self.connection = Some(sender);
+        Ok((status, bytes))
+    }
+
+    /// Sends a call and waits until its answer begins.
+    async fn send(
+        &mut self,
+        call: StoreRequest,
+    ) -> Result<(Response<Incoming>, SendRequest<RequestBody>), StoreError> {
         let address = self.cx.settings().store.address.to_string();
         let idle = self.connection.take().filter(|c| !c.is_closed());
         let mut sender = match idle {
@@ -227,16 +245,17 @@
         sender.ready().await.map_err(|_| StoreError::Unreachable)?;
         let response = sender.send_request(request).await;
         let response = response.map_err(|_| StoreError::Unanswered)?;
-        let status = response.status();
-        let bytes = self.receive_body(response.into_body()).await?;
-        self.connection = Some(sender);
-        Ok((status, bytes))
+        Ok((response, sender))
     }
 
     async fn receive_body(&mut self, mut body: Incoming) -> Result<Bytes, StoreError> {
         let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| StoreError::Incomplete(self.received))?;
+        loop {
+            let frame = match timeout(PROGRESS_TIMEOUT, body.frame()).await {
+                Ok(None) => return Ok(bytes.freeze()),
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) | Err(_) => return Err(StoreError::Incomplete(self.received)),
+            };
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -246,7 +265,6 @@
             }
             bytes.extend_from_slice(&data);
         }
-        Ok(bytes.freeze())
     }
 
     fn record_answer(&mut self) {
