gateway: decode and log the limit that a backend server names

Server-Limit is now decoded in platform/, kept with the server with the time of the statement, and logged when it is named (JL1305), lifted (JL1306) or cannot be decoded (JL1307). JL1504 shows the limit that was known at each send. No decision uses it yet.

Answers come out of order, so an answer without a limit lifts it only if its request was sent after the last answer with one had arrived.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -159,7 +159,7 @@
 }
 
 /// Status and headers of a backend server's answer, decoded.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Identifier of the request that is answered.
     pub request_id: Option<SmolStr>,
@@ -171,6 +171,9 @@
     pub is_signed: bool,
     /// Load of the server, if the answer reports it.
     pub load: Option<ServerLoad>,
+    /// Requests per second that the server takes from all instances together, if the answer names
+    /// such a limit.
+    pub limit: Option<Result<f64, DecodeError>>,
 }
 
 /// Load of a backend server.
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -30,6 +30,12 @@
     ServerSilent = 1303,
     /// A role change command was sent to an engine.
     StageOrdered = 1304,
+    /// A backend server has named a limit of requests per second.
+    ServerLimited = 1305,
+    /// A backend server no longer names a limit of requests per second.
+    ServerUnlimited = 1306,
+    /// A backend server named a limit that cannot be decoded.
+    LimitUnreadable = 1307,
     /// Reports of a peer instance, or of another zone, arrive for the first time or again.
     PeerRegained = 1401,
     /// Reports of a peer instance, or of another zone, no longer arrive.
@@ -66,7 +72,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 32] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -80,6 +86,9 @@
         Self::ServerGone,
         Self::ServerSilent,
         Self::StageOrdered,
+        Self::ServerLimited,
+        Self::ServerUnlimited,
+        Self::LimitUnreadable,
         Self::PeerRegained,
         Self::PeerLost,
         Self::InstanceRemoved,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::caller_request::{CallerRequest, remove_connection_headers};
 use crate::connection_pool::{Connection, RequestBody, connect};
 use crate::context::Context;
+use crate::server_limits;
 use crate::{AnswerHead, EngineRequest, EventCode, ServerHeaders};
 
 /// Maximum size of an answer that is buffered as a whole, in bytes.
@@ -226,6 +227,11 @@
             cx.record_outcome(server, CallOutcome::Unresponsive);
             return Err(SendError::NotRun("another server has the address"));
         }
+        let is_answer =
+            caller_send.is_none_or(|c| head.request_id.as_ref() == Some(&c.req.headers.request_id));
+        if is_answer {
+            server_limits::record(cx, server, now.saturating_sub(took), &head.limit);
+        }
         if head.is_not_run {
             cx.record_outcome(server, CallOutcome::NoCapacity);
             // The body is read so that the connection can be reused.
@@ -468,6 +474,7 @@
                 "failure_rate",
                 round_to_hundredths(picked.failure_rate(now)).into(),
             ),
+            ("server_limit", picked.named_limit.rate().into()),
             ("time_left_ms", (extra.time_left.as_millis() as u64).into()),
             ("config", req.config.version.into()),
         ],
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -42,6 +42,15 @@
         self.ahead_ms = Some(self.ahead_ms.map_or(ahead, |max| max.max(ahead)));
     }
 
+    /// Converts a time of this instance into one of the store, in milliseconds; `None` before the
+    /// first answer of the store.
+    ///
+    /// The time may be later than the true one by the duration of the fastest call to the store.
+    pub fn to_store(self, local: Duration) -> Option<u64> {
+        let store_ms = local.as_millis() as i64 - self.ahead_ms?;
+        Some(store_ms.max(1) as u64)
+    }
+
     /// Converts a time of the store into one of this instance that is never later than the true
     /// one; `None` before the first answer of the store.
     pub fn to_local(self, store_ms: u64) -> Option<Duration> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod registry;
 mod reservation;
 mod role_coordinator;
+mod server_limits;
 mod settings;
 mod state;
 mod store;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 mod customer_charges;
 mod event_stream;
 mod membership;
+mod named_limit;
 mod over_limit;
 mod quota;
 mod retry_budget;
@@ -27,6 +28,7 @@
 pub use membership::{
     Member, MemberStatus, Membership, ReportOutcome, ZoneDigest, report_interval,
 };
+pub use named_limit::{LimitChange, LimitStatement, NamedLimit};
 pub use over_limit::OverLimit;
 pub use quota::{QuotaDecision, QuotaLedger};
 pub use retry_budget::RetryBudget;
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -6,6 +6,8 @@
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 
+use crate::NamedLimit;
+
 new_key_type! {
     /// Key of a backend server in a [`ServerPool`](crate::ServerPool).
     ///
@@ -112,6 +114,8 @@
     pub local_prefills: u32,
     /// Time at which the registration expired while the store was unreachable, until it is renewed.
     pub expired_at: Option<Duration>,
+    /// Request limit that the server names.
+    pub named_limit: NamedLimit,
     /// Moving average of failures at `failures_updated_at`, between 0 and 1.
     failures: f64,
     failures_updated_at: Duration,
@@ -140,6 +144,7 @@
             own_tokens: 0,
             local_prefills: 0,
             expired_at: None,
+            named_limit: NamedLimit::default(),
             failures: 0.0,
             failures_updated_at: Duration::ZERO,
             mean_latency_s: None,
