Permits for requests to servers that name a limit

The limit was not read; and a limit that each instance kept alone would have allowed the sum of all.

The class: a bound on the whole fleet that no decision reads, or that each instance applies by itself. The delegate of the server's zone now grants permits from one bucket, all instances ask it before each send, and the first one that hears of a limit tells all others at once.

A retry is counted against the retry budget only if the attempt before it was sent: an attempt that got no permit has not reached any server.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -11,9 +11,13 @@
 use crate::capacity_queue::CapacityQueue;
 use crate::connection_pool::ConnectionPool;
 use crate::peers::ReceivedDigests;
+use crate::permits::Permits;
 use crate::state::State;
 use crate::{Adapter, Clock, EventCode, EventLog, Settings, metrics::Metrics};
 
+/// Bits for the calls for permits of one process below its start time.
+const PERMIT_NUMBER_BITS: u32 = 20;
+
 /// Shared context of a running instance. All its tasks run on one thread; only the event log has a
 /// thread of its own.
 pub struct Context {
@@ -35,6 +39,10 @@
     pub metrics: Metrics,
     /// Digests of other zones that this instance has received.
     pub received_digests: RefCell<ReceivedDigests>,
+    /// Permits for requests to backend servers that name a limit.
+    pub permits: Permits,
+    /// Notified when peers should learn at once of a limit that a backend server named or lifted.
+    pub limits_changed: Notify,
     /// Notified when a peer may have newer rows of the store's tables.
     pub peer_rows_changed: Notify,
     /// Notified once when callers' connections are to be closed after the current request.
@@ -73,6 +81,8 @@
             event_log: EventLog::spawn(clock)?,
             metrics: Metrics::open()?,
             received_digests: RefCell::default(),
+            permits: Permits::new(incarnation << PERMIT_NUMBER_BITS),
+            limits_changed: Notify::new(),
             peer_rows_changed: Notify::new(),
             close_connections: Notify::new(),
             stop_accepting: Notify::new(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::caller_request::{CallerRequest, remove_connection_headers};
 use crate::connection_pool::{Connection, RequestBody, connect};
 use crate::context::Context;
+use crate::permits;
 use crate::server_limits;
 use crate::{AnswerHead, EngineRequest, EventCode, ServerHeaders};
 
@@ -122,6 +123,10 @@
             ..extra
         };
         let is_prefill = extra.prefill_only;
+        // The permits of a reserved decode were acquired with its reservation.
+        if extra.reservation_id.is_none() {
+            permits::acquire(cx, server, 1).await?;
+        }
         log_send(cx, req, server, &extra);
         (cx.adapter.servers.encode_headers)(&mut headers, &extra);
         let call = Outgoing {
@@ -172,6 +177,9 @@
     ) -> Result<Self, SendError> {
         let in_flight = InFlight::begin(cx, server);
         let started = cx.now();
+        if let Some(s) = cx.state.borrow_mut().pool.get_mut(server) {
+            s.record_send(started);
+        }
         let result = timeout(within, send_request(cx, server, target, &call, caller_send)).await;
         let took = cx.now().saturating_sub(started);
         let (response, sender) = match result {
@@ -309,6 +317,9 @@
     }
 }
 
+/// Reason for refusing a request: all servers that could run it are at the limits that they name.
+pub const SERVERS_AT_LIMIT: &str = "servers are at the limits that they name";
+
 /// The server did not answer within the time limit of the send.
 pub const TIMED_OUT: SendError = SendError::Lost("no answer in time");
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -16,11 +16,17 @@
 use crate::answer::{AnswerBody, Verdict};
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
-use crate::exchange::{Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, SendError, log_send_failure};
+use crate::exchange::{
+    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, SERVERS_AT_LIMIT, SendError, log_send_failure,
+};
+use crate::permits::{self, AT_LIMIT};
 use crate::reservation::{KvCache, Reservation};
 use crate::stream::StreamForwarder;
 use crate::{EventCode, ServerHeaders};
 
+/// Number of requests of a decode to its engine: the reservation, and the decode or the release.
+const RESERVED_DECODE_REQUESTS: u32 = 2;
+
 /// Interval between two rounds of reservation requests or searches for a prefill engine.
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -283,7 +289,16 @@
             {
                 return Ok(reservation);
             }
-            if cx.now() >= until {
+            let now = cx.now();
+            let limited = cx
+                .state
+                .borrow()
+                .pool
+                .wait_for_limits(now, &self.req.service);
+            if limited.is_some_and(|wait| now + wait >= until) {
+                return Err(self.refusal(SERVERS_AT_LIMIT));
+            }
+            if now >= until {
                 self.log_no_capacity();
                 return Err(self.refusal("no engine has room"));
             }
@@ -353,6 +368,12 @@
             .into_iter()
             .take(MAX_CANDIDATES)
         {
+            if permits::acquire(&self.cx, server, RESERVED_DECODE_REQUESTS)
+                .await
+                .is_err()
+            {
+                continue;
+            }
             let mut reservation = Reservation::new(&self.cx, server, tokens);
             let dialect = self.cx.adapter.servers;
             let request = (dialect.reserve_memory)(tokens, self.spec.reservation_ttl);
@@ -403,8 +424,9 @@
                 Err(KEY_REVOKED) => return Err(self.refusal("key is no longer accepted")),
                 Err(error) => {
                     log_send_failure(&self.cx, &self.req, server, error);
-                    // An engine that refused for lack of capacity may be asked again.
-                    if !matches!(error, SendError::NotRun(_)) {
+                    // An engine that refused for lack of capacity, or is at its limit, may be asked
+                    // again.
+                    if !matches!(error, SendError::NotRun(_) | AT_LIMIT) {
                         tried.push(server);
                     }
                 }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -104,7 +104,11 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         let now = cx.now();
-        cx.state.borrow_mut().pool.remove_expired(now);
+        let mut state = cx.state.borrow_mut();
+        state.pool.remove_expired(now);
+        cx.metrics
+            .record_limited_servers(state.pool.limited_servers());
+        drop(state);
         cx.connection_pool.evict_expired(now);
         let reachable_now = reachable_members(&cx);
         for name in reachable_now.difference(&reachable) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod instance;
 mod metrics;
 mod peers;
+mod permits;
 mod plain;
 mod registry;
 mod reservation;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -25,6 +25,7 @@
     store_calls: Counter<u64>,
     store_answer_time: Histogram<f64>,
     store_answer_bytes: Counter<u64>,
+    limited_servers: Gauge<u64>,
 }
 
 impl Metrics {
@@ -63,6 +64,7 @@
             store_calls: meter.u64_counter("jacinthlever_store_calls").build(),
             store_answer_time,
             store_answer_bytes: meter.u64_counter("jacinthlever_store_answer_bytes").build(),
+            limited_servers: meter.u64_gauge("jacinthlever_limited_servers").build(),
             registry,
             _provider: provider,
         })
@@ -132,6 +134,11 @@
         self.store_answer_bytes.add(bytes as u64, &labels);
     }
 
+    /// Records the number of backend servers that name a limit.
+    pub fn record_limited_servers(&self, count: usize) {
+        self.limited_servers.record(count as u64, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 //! a lost one; see `docs/design/platform.md`.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +20,9 @@
 
 use crate::context::Context;
 use crate::freshness::{Freshness, TableChange};
+use crate::permits::{self, PermitAnswer, PermitMessage};
 use crate::registry::own_member;
+use crate::server_limits::{self, SharedLimit};
 use crate::table_updates::apply_peer_changes;
 
 /// Pause after a failed receive.
@@ -37,6 +40,9 @@
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 
+/// Delay before a limit that was named or lifted is shared, so that one message carries several.
+const LIMIT_SHARE_DELAY: Duration = Duration::from_millis(5);
+
 /// Version of the message format; datagrams of other versions are ignored.
 const VERSION: u16 = 4;
 
@@ -49,16 +55,20 @@
 
 /// Content of a datagram.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-enum Message {
+pub enum Message {
     /// From an instance to the others of its zone.
     Report(Report),
     /// From the delegate of a zone to other zones.
     Digest(Digest),
+    /// From an instance to the one that grants the permits of a backend server.
+    PermitCall(PermitMessage),
+    /// The answer to a call for permits.
+    PermitAnswer(PermitAnswer),
 }
 
 /// Status that an instance sends to the others of its zone.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct Report {
+pub struct Report {
     instance: SmolStr,
     incarnation: u64,
     /// Time since the start of the process, in milliseconds.
@@ -79,11 +89,14 @@
     suspects: Vec<(u64, u32)>,
     /// Digests of other zones that this instance has received.
     digests: Vec<Digest>,
+    /// Limits that backend servers have named or lifted lately.
+    #[serde(default)]
+    limits: Vec<SharedLimit>,
 }
 
 /// Summary of a zone that its delegate sends to other zones.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct Digest {
+pub struct Digest {
     zone: SmolStr,
     #[serde(rename = "speaker")]
     delegate: SmolStr,
@@ -95,6 +108,9 @@
     charged: Vec<CustomerCharges>,
     reserved: Vec<(SmolStr, u64)>,
     suspects: Vec<(u64, u32)>,
+    /// Limits that backend servers have named or lifted lately.
+    #[serde(default)]
+    limits: Vec<SharedLimit>,
 }
 
 /// Digests that this instance has received from other zones and forwards within its own.
@@ -122,6 +138,7 @@
 /// Fails if the socket cannot be bound.
 pub async fn run(cx: Rc<Context>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(cx.settings().listen.peers).await?);
+    cx.permits.set_socket(socket.clone());
     tokio::task::spawn_local(receive(cx.clone(), socket.clone()));
     let mut next_digest = Instant::now();
     loop {
@@ -132,7 +149,13 @@
         }
         let peers = cx.state.borrow().members.zone_size(cx.now());
         let interval = report_interval(peers);
-        sleep_until(Instant::now() + interval).await;
+        tokio::select! {
+            () = sleep_until(Instant::now() + interval) => {}
+            () = cx.limits_changed.notified() => {
+                sleep(LIMIT_SHARE_DELAY).await;
+                next_digest = Instant::now();
+            }
+        }
     }
 }
 
@@ -164,15 +187,9 @@
 }
 
 async fn send(socket: &UdpSocket, message: Message, addresses: &[SmolStr]) {
-    let mut bytes = Vec::new();
-    let datagram = Datagram {
-        version: VERSION,
-        message,
-    };
-    if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
-        log::warn!("cannot encode a datagram, nothing sent to peers: {error}");
+    let Some(bytes) = encode(message) else {
         return;
-    }
+    };
     for address in addresses {
         // The next datagram makes up for a lost one.
         if let Err(error) = socket.send_to(&bytes, address.as_str()).await {
@@ -181,6 +198,22 @@
     }
 }
 
+/// Encodes a message as a datagram; `None` if that fails.
+pub fn encode(message: Message) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let datagram = Datagram {
+        version: VERSION,
+        message,
+    };
+    match ciborium::into_writer(&datagram, &mut bytes) {
+        Ok(()) => Some(bytes),
+        Err(error) => {
+            log::warn!("cannot encode a datagram, nothing sent to peers: {error}");
+            None
+        }
+    }
+}
+
 fn report(cx: &Context) -> Report {
     let settings = cx.settings();
     let now = cx.now();
@@ -203,6 +236,7 @@
         reserved: state.pool.own_reserved(),
         suspects: suspects(&state.suspect_requests),
         digests,
+        limits: server_limits::recent(&state, now),
     }
 }
 
@@ -226,6 +260,7 @@
         charged: state.quotas.recent_zone_charges(now),
         reserved: state.pool.same_zone_reserved(now),
         suspects: suspects(&state.suspect_requests),
+        limits: server_limits::recent(&state, now),
     }
 }
 
@@ -238,7 +273,7 @@
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((length, from)) => match ciborium::from_reader(&buf[..length]) {
-                Ok(datagram) => handle_datagram(&cx, datagram),
+                Ok(datagram) => handle_datagram(&cx, datagram, from),
                 Err(error) => {
                     log::debug!("cannot decode a datagram of {length} bytes from {from}: {error}")
                 }
@@ -251,7 +286,7 @@
     }
 }
 
-fn handle_datagram(cx: &Context, datagram: Datagram) {
+fn handle_datagram(cx: &Context, datagram: Datagram, from: SocketAddr) {
     if datagram.version != VERSION {
         return;
     }
@@ -261,6 +296,8 @@
             apply_digest(cx, &digest);
             cx.received_digests.borrow_mut().push(cx.now(), digest);
         }
+        Message::PermitCall(call) => permits::handle_call(cx, call, from),
+        Message::PermitAnswer(answer) => cx.permits.handle_answer(answer),
     }
 }
 
@@ -302,6 +339,7 @@
     state.merge_freshness(report.config, report.servers);
     drop(state);
     cx.peer_rows_changed.notify_waiters();
+    server_limits::merge(cx, &report.limits);
     for digest in &report.digests {
         apply_digest(cx, digest);
     }
@@ -330,6 +368,8 @@
     let pool = &mut state.pool;
     pool.set_zone_reserved(now, &digest.zone, &digest.reserved);
     state.merge_suspects(now, &digest.suspects);
+    drop(state);
+    server_limits::merge(cx, &digest.limits);
 }
 
 impl crate::state::State {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -16,7 +16,8 @@
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::exchange::{
-    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, SendError, TIMED_OUT, log_send_failure,
+    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, SERVERS_AT_LIMIT, SendError, TIMED_OUT,
+    log_send_failure,
 };
 use crate::suspects;
 
@@ -43,6 +44,8 @@
     tried: Vec<ServerKey>,
     /// Number of finished attempts that may have run the request.
     possible_runs: u32,
+    /// Number of finished attempts that were sent to a server.
+    sent: usize,
     attempts: FuturesUnordered<Attempt>,
     last_failure: Option<FullResponse>,
     last_error: Option<SendError>,
@@ -61,6 +64,7 @@
         req,
         tried: Vec::new(),
         possible_runs: 0,
+        sent: 0,
         attempts: FuturesUnordered::new(),
         last_failure: None,
         last_error: None,
@@ -116,7 +120,7 @@
             avoid: &self.tried,
         });
         let Some(server) = picked else { return false };
-        let is_retry = !self.tried.is_empty();
+        let is_retry = self.sent + self.attempts.len() > 0;
         let budget = state.retry_budget(&settings, &self.req.service);
         if is_retry && !budget.try_spend(now) {
             return false;
@@ -135,6 +139,9 @@
         server: ServerKey,
         result: Result<FullResponse, SendError>,
     ) -> Option<FullResponse> {
+        if !matches!(result, Err(SendError::Unsent(_))) {
+            self.sent += 1;
+        }
         match result {
             Ok(answer) if answer.status.is_server_error() && self.is_idempotent() => {
                 self.possible_runs += 1;
@@ -165,6 +172,12 @@
                 _ => Verdict::lost("server gave no answer"),
             });
         }
+        let (now, service) = (self.cx.now(), &self.req.service);
+        let limited = self.cx.state.borrow().pool.wait_for_limits(now, service);
+        if let Some(wait) = limited {
+            let retry_after = wait.max(RETRY_AFTER_NO_SERVER);
+            return Err(Verdict::unavailable(SERVERS_AT_LIMIT, retry_after));
+        }
         Err(match self.last_error {
             Some(KEY_REVOKED) => {
                 Verdict::unavailable("key is no longer accepted", RETRY_AFTER_NO_SERVER)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod named_limit;
 mod over_limit;
+mod permit_ledger;
 mod quota;
 mod retry_budget;
 mod role_planner;
@@ -26,10 +27,11 @@
 pub use customer_charges::CustomerCharges;
 pub use event_stream::{EventSplitter, StreamEvent};
 pub use membership::{
-    Member, MemberStatus, Membership, ReportOutcome, ZoneDigest, report_interval,
+    Delegate, Member, MemberStatus, Membership, ReportOutcome, ZoneDigest, report_interval,
 };
 pub use named_limit::{LimitChange, LimitStatement, NamedLimit};
 pub use over_limit::OverLimit;
+pub use permit_ledger::{COUNTED_BEFORE_LIMIT, LIMIT_NOTICE, PermitCall, PermitLedger};
 pub use quota::{QuotaDecision, QuotaLedger};
 pub use retry_budget::RetryBudget;
 pub use role_planner::{EngineProfile, RoleChange, RolePlanner};
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -98,6 +98,15 @@
     Outdated,
 }
 
+/// The instance that performs the duties of an availability zone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Delegate {
+    /// This instance.
+    Own,
+    /// Another instance, with its address for messages between instances.
+    Peer(SmolStr),
+}
+
 /// The other instances of the fleet and the digests of the other zones.
 #[derive(Debug, Default)]
 pub struct Membership {
@@ -226,6 +235,28 @@
             .count()
     }
 
+    /// Returns the delegate of a zone, or that of the first reachable zone if the zone has no
+    /// current digest. Instances that reach each other agree on it, but for the time that a change
+    /// takes to reach all of them.
+    pub fn delegate_of(&self, now: Duration, zone: &str) -> Delegate {
+        let is_reachable = zone == self.zone || self.reachable_zones(now).any(|z| z == zone);
+        let first = || self.reachable_zones(now).min().min(Some(&self.zone));
+        let zone = if is_reachable {
+            zone
+        } else {
+            first().unwrap_or(&self.zone)
+        };
+        if let Some(other) = self.zones.get(zone).filter(|_| zone != self.zone) {
+            return Delegate::Peer(other.digest.address.clone());
+        }
+        let mut before = self.peers.iter().take_while(|(name, _)| **name < self.name);
+        before
+            .find(|(_, p)| p.member.zone == self.zone && p.is_reachable(now))
+            .map_or(Delegate::Own, |(_, p)| {
+                Delegate::Peer(p.member.peer_address.clone())
+            })
+    }
+
     /// Whether the zone of this instance is the first by name among those with a current digest.
     pub fn is_first_zone(&self, now: Duration) -> bool {
         let fresh = self.zones.iter().filter(|(_, z)| z.is_fresh(now));
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -1,12 +1,12 @@
 //! The state of a backend server, as known to an instance.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 
-use crate::NamedLimit;
+use crate::{COUNTED_BEFORE_LIMIT, Delegate, LIMIT_NOTICE, NamedLimit};
 
 new_key_type! {
     /// Key of a backend server in a [`ServerPool`](crate::ServerPool).
@@ -116,6 +116,12 @@
     pub expired_at: Option<Duration>,
     /// Request limit that the server names.
     pub named_limit: NamedLimit,
+    /// Time before which no permit for a request to the server is expected.
+    pub permits_from: Duration,
+    /// Times of the latest sends without a permit.
+    unlimited_sends: VecDeque<Duration>,
+    /// Sends before the limit was known that count against it.
+    earlier_sends: EarlierSends,
     /// Moving average of failures at `failures_updated_at`, between 0 and 1.
     failures: f64,
     failures_updated_at: Duration,
@@ -145,6 +151,9 @@
             local_prefills: 0,
             expired_at: None,
             named_limit: NamedLimit::default(),
+            permits_from: Duration::ZERO,
+            unlimited_sends: VecDeque::new(),
+            earlier_sends: EarlierSends::default(),
             failures: 0.0,
             failures_updated_at: Duration::ZERO,
             mean_latency_s: None,
@@ -236,6 +245,52 @@
         self.entry.state == ServerState::Ready
     }
 
+    /// Records a send to the server; the latest ones without a permit count against a limit that
+    /// the server names.
+    pub fn record_send(&mut self, now: Duration) {
+        if self.named_limit.rate().is_some() {
+            return;
+        }
+        self.drop_old_sends(now);
+        self.unlimited_sends.push_back(now);
+    }
+
+    /// Records that this instance has just learned of a limit: the sends in the last
+    /// [`COUNTED_BEFORE_LIMIT`] count against it.
+    pub fn start_limit(&mut self, now: Duration) {
+        self.drop_old_sends(now);
+        self.earlier_sends = EarlierSends {
+            count: std::mem::take(&mut self.unlimited_sends).len() as u32,
+            until: now + LIMIT_NOTICE,
+            reported_to: None,
+        };
+    }
+
+    /// Returns the number of sends before the limit that have to be reported to the instance that
+    /// grants permits. Each of them gets it once, so that one which takes over the permits early
+    /// knows of these sends as well.
+    pub fn unreported_sends(&mut self, now: Duration, granted_by: &Delegate) -> u32 {
+        let earlier = &mut self.earlier_sends;
+        let is_reported = earlier.reported_to.as_ref() == Some(granted_by);
+        if earlier.count == 0 || is_reported || now >= earlier.until {
+            return 0;
+        }
+        earlier.reported_to = Some(granted_by.clone());
+        earlier.count
+    }
+
+    fn drop_old_sends(&mut self, now: Duration) {
+        let is_old = |at: &Duration| *at + COUNTED_BEFORE_LIMIT < now;
+        while self.unlimited_sends.front().is_some_and(is_old) {
+            self.unlimited_sends.pop_front();
+        }
+    }
+
+    /// Whether permits for requests to the server are used up for now.
+    pub fn is_at_limit(&self, now: Duration) -> bool {
+        self.named_limit.rate().is_some() && now < self.permits_from
+    }
+
     /// Whether the server is paused because it was unresponsive.
     pub fn is_paused(&self, now: Duration) -> bool {
         now < self.paused_until
@@ -272,6 +327,16 @@
     }
 }
 
+/// Sends to a server before its limit was known.
+#[derive(Clone, Debug, Default)]
+struct EarlierSends {
+    count: u32,
+    /// Time from which they no longer count.
+    until: Duration,
+    /// Instance to which they were reported.
+    reported_to: Option<Delegate>,
+}
+
 /// Reserved tokens and time of the report, by the name of the peer or zone.
 type Reservations = BTreeMap<SmolStr, (u64, Duration)>;
 
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -6,7 +6,7 @@
 use slotmap::SlotMap;
 use smol_str::SmolStr;
 
-use crate::{CallOutcome, EngineRole, Server, ServerEntry, ServerKey};
+use crate::{CallOutcome, EngineRole, LimitChange, LimitStatement, Server, ServerEntry, ServerKey};
 
 /// Time for which a registration is still used that expired while the store was unreachable.
 const EXPIRED_GRACE_PERIOD: Duration = Duration::from_millis(2000);
@@ -22,6 +22,13 @@
 /// one is left.
 const PAUSED_COST: f64 = 50.0;
 
+/// Cost of a server that names a limit, in the same unit: others are preferred while they have free
+/// slots.
+const LIMITED_COST: f64 = 1.0;
+
+/// Cost of a prefill engine that names a limit, in seconds.
+const LIMITED_PREFILL_COST_S: f64 = 0.3;
+
 /// Cost of a prefill engine in another zone, in seconds; its KV cache has to be sent across zones.
 const REMOTE_ZONE_PREFILL_COST_S: f64 = 0.12;
 
@@ -182,10 +189,12 @@
         let cost = |s: &Server| {
             let slots = f64::from(s.entry.slots.max(1));
             let load = f64::from(s.load(pick.now)) / slots;
-            load + pick.remote_zone_cost(s, REMOTE_ZONE_COST) + medians.penalty(pick.now, s)
+            load + pick.remote_zone_cost(s, REMOTE_ZONE_COST)
+                + limited_cost(s, LIMITED_COST)
+                + medians.penalty(pick.now, s)
         };
         self.available(pick.service)
-            .filter(|(key, _)| !pick.avoid.contains(key))
+            .filter(|(key, s)| !pick.avoid.contains(key) && !s.is_at_limit(pick.now))
             .min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))
             .map(|(key, _)| key)
     }
@@ -209,6 +218,7 @@
             let prefill = s.expected_prefill_time(pick.now, tokens).as_secs_f64();
             prefill
                 + pick.remote_zone_cost(s, REMOTE_ZONE_PREFILL_COST_S)
+                + limited_cost(s, LIMITED_PREFILL_COST_S)
                 + failures
                 + PREFILL_JITTER_S * draw()
         };
@@ -236,6 +246,7 @@
             let used = s.reserved_tokens(pick.now) as f64 / memory as f64;
             let penalty = DECODE_PENALTY_FACTOR * medians.penalty(pick.now, s);
             used + pick.remote_zone_cost(s, REMOTE_ZONE_DECODE_COST)
+                + limited_cost(s, LIMITED_COST)
                 + penalty
                 + DECODE_JITTER * draw()
         };
@@ -256,6 +267,48 @@
     ) -> impl Iterator<Item = (ServerKey, &'a Server)> {
         self.available(pick.service)
             .filter(move |(key, s)| s.entry.role == Some(role) && !pick.avoid.contains(key))
+            .filter(move |(_, s)| !s.is_at_limit(pick.now))
+    }
+
+    /// Returns the time until a server of a service may take requests again, if all of them are at
+    /// the limits that they name; `None` otherwise.
+    pub fn wait_for_limits(&self, now: Duration, service: &str) -> Option<Duration> {
+        let waits = self.available(service).map(|(_, s)| {
+            s.is_at_limit(now)
+                .then(|| s.permits_from.saturating_sub(now))
+        });
+        waits.collect::<Option<Vec<_>>>()?.into_iter().min()
+    }
+
+    /// Merges what another instance has heard of a server's limit; returns the server if that
+    /// changes whether it is limited.
+    pub fn merge_limit(
+        &mut self,
+        id: &str,
+        statement: LimitStatement,
+    ) -> Option<(ServerKey, LimitChange)> {
+        let key = self.by_id.get(id).copied()?;
+        let change = self.servers.get_mut(key)?.named_limit.merge(statement)?;
+        Some((key, change))
+    }
+
+    /// Returns what servers have said of their limits since a time of the store's clock, the latest
+    /// `max` of them.
+    pub fn limit_statements(&self, since_ms: u64, max: usize) -> Vec<(SmolStr, LimitStatement)> {
+        let statements = self.servers.values().filter_map(|s| {
+            let statement = s.named_limit.statement()?;
+            (statement.stated_ms >= since_ms).then(|| (s.entry.id.clone(), statement))
+        });
+        let mut statements: Vec<_> = statements.collect();
+        statements.sort_by_key(|(_, s)| std::cmp::Reverse(s.stated_ms));
+        statements.truncate(max);
+        statements
+    }
+
+    /// Returns the number of servers that name a limit.
+    pub fn limited_servers(&self) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|s| s.named_limit.rate().is_some()).count()
     }
 
     /// Replaces all reservations of a peer of this zone; servers that are not listed have none.
@@ -368,6 +421,13 @@
     }
 }
 
+fn limited_cost(server: &Server, cost: f64) -> f64 {
+    match server.named_limit.rate() {
+        Some(_) => cost,
+        None => 0.0,
+    }
+}
+
 /// Returns the median or, of two middle values, the lower one, so that the worse of two servers
 /// exceeds it.
 fn lower_median(values: &mut [f64]) -> Option<f64> {
