--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -31,7 +31,7 @@
 }
 
 /// The way in which a backend server fails for a time.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ServerFault {
     /// The server responds to the requests that it runs with a failure.
     FailRequests,
@@ -41,6 +41,8 @@
     MismatchResponses,
     /// The server closes the connection before its responses are complete.
     TruncateResponses,
+    /// The server names a limit of this many requests per second.
+    NameLimit(f64),
 }
 
 /// A fault that is injected.
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -17,6 +17,9 @@
 /// Maximum duration of a fault.
 const MAX_DURATION: Duration = Duration::from_millis(6000);
 
+/// Minimum duration of a limit that a server names: longer than the time until it is binding.
+const MIN_LIMIT_DURATION: Duration = Duration::from_millis(5500);
+
 /// The number of processes into which faults can be injected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FleetSize {
@@ -65,10 +68,33 @@
             };
             at += MEAN_INTERVAL.mul_f64(factor);
         }
+        faults.extend(named_limits(seed, length, fleet));
+        faults.sort_by_key(|planned| planned.at);
         Self { faults }
     }
 }
 
+/// Returns the limits that servers name during a run, one after the other.
+///
+/// They have a generator of their own, so that the other faults of a seed stay the same.
+fn named_limits(seed: u64, length: Duration, fleet: FleetSize) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..2000));
+    while at + MIN_LIMIT_DURATION < length {
+        let duration = (length - at).min(MIN_LIMIT_DURATION * rng.random_range(1..3));
+        let fault = ServerFault::NameLimit(rng.random_range(0.0..12.0));
+        let server = rng.random_range(0..fleet.servers);
+        faults.push(PlannedFault {
+            at,
+            duration,
+            fault: Fault::Server { server, fault },
+        });
+        at += duration.mul_f64(rng.random_range(0.2..1.2));
+    }
+    faults
+}
+
 fn random_fault(rng: &mut ChaCha8Rng, fleet: FleetSize) -> Fault {
     let instance = rng.random_range(0..fleet.instances);
     let server = rng.random_range(0..fleet.servers);
