Soak: limits of many servers at the same time

With one limited server at a time the others took the requests and the check found nothing with permits switched off.

--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -20,6 +20,9 @@
 /// Minimum duration of a limit that a server names: longer than the time until it is binding.
 const MIN_LIMIT_DURATION: Duration = Duration::from_millis(5500);
 
+/// Probability that a server names a limit when others do.
+const LIMITED_SHARE: f64 = 0.8;
+
 /// The number of processes into which faults can be injected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FleetSize {
@@ -74,7 +77,8 @@
     }
 }
 
-/// Returns the limits that servers name during a run, one after the other.
+/// Returns the limits that servers name during a run, many of them at the same time: with few of
+/// them the others take the requests.
 ///
 /// They have a generator of their own, so that the other faults of a seed stay the same.
 fn named_limits(seed: u64, length: Duration, fleet: FleetSize) -> Vec<PlannedFault> {
@@ -83,14 +87,17 @@
     let mut at = Duration::from_millis(rng.random_range(0..2000));
     while at + MIN_LIMIT_DURATION < length {
         let duration = (length - at).min(MIN_LIMIT_DURATION * rng.random_range(1..3));
-        let fault = ServerFault::NameLimit(rng.random_range(0.0..12.0));
-        let server = rng.random_range(0..fleet.servers);
-        faults.push(PlannedFault {
-            at,
-            duration,
-            fault: Fault::Server { server, fault },
-        });
-        at += duration.mul_f64(rng.random_range(0.2..1.2));
+        for server in 0..fleet.servers {
+            if rng.random_bool(LIMITED_SHARE) {
+                let fault = ServerFault::NameLimit(rng.random_range(0.0..4.0));
+                faults.push(PlannedFault {
+                    at,
+                    duration,
+                    fault: Fault::Server { server, fault },
+                });
+            }
+        }
+        at += duration.mul_f64(rng.random_range(1.1..1.6));
     }
     faults
 }
