Quotas: a part of the fleet uses its share of a bucket's level

An instance that is cut off went on with the whole level of the bucket and with all that it was refilled with in the 1.2 s before it noticed; only the refill after that was divided.

The class: a share that is applied to the future only. A part of the fleet now uses its share of the level, and what it has charged since the cut is deducted as if it had had its share since then. Beside it the level of the whole bucket is kept with the full refill, so nothing is lost when all are reached again.

--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -26,7 +26,10 @@
 #[derive(Debug)]
 struct Bucket {
     quota: Quota,
+    /// Level if nothing but the known charges has been deducted.
     level: f64,
+    /// Level that this part of the fleet may use while it does not reach the whole fleet.
+    part: Option<f64>,
     refilled_at: Duration,
     /// Tokens charged by this instance since its start.
     charged: RunningTotal,
@@ -38,8 +41,8 @@
 ///
 /// Every instance keeps a bucket of the full size for each customer. It deducts its own charges
 /// immediately, and those of its peers and of the other zones when they are reported. While the
-/// fleet is partitioned, each side refills the buckets at the fraction of the rate that corresponds
-/// to its share of the instances, so that all sides together do not exceed the rate.
+/// fleet is partitioned, each side uses and refills the fraction of the buckets that corresponds to
+/// its share of the instances, so that all sides together do not exceed the limit.
 #[derive(Debug, Default)]
 pub struct QuotaLedger {
     buckets: BTreeMap<SmolStr, Bucket>,
@@ -50,6 +53,8 @@
     first_message: BTreeMap<SmolStr, Duration>,
     /// Charges of the peers of this zone to each customer since this instance started.
     zone_peers: BTreeMap<SmolStr, RunningTotal>,
+    /// Charges of the other zones to each customer since this instance started.
+    other_zones: BTreeMap<SmolStr, RunningTotal>,
     fleet_share: FleetShare,
 }
 
@@ -81,6 +86,7 @@
             let bucket = self.buckets.entry(name).or_insert(Bucket {
                 quota,
                 level: quota.burst,
+                part: None,
                 refilled_at: now,
                 charged: RunningTotal::default(),
                 pending: 0,
@@ -88,15 +94,29 @@
             bucket.refill(now, fleet_share);
             bucket.quota = quota;
             bucket.level = bucket.level.min(quota.burst);
+            bucket.part = bucket.part.map(|part| part.min(quota.burst));
         }
     }
 
     /// Sets the reachable fraction of the fleet, between 0 and 1.
+    ///
+    /// The fraction of each bucket that this side may use changes with it. A loss of instances is
+    /// noticed late, so what this side has charged since then counts against its new fraction.
     pub fn set_fleet_share(&mut self, now: Duration, fleet_share: f64) {
-        for bucket in self.buckets.values_mut() {
-            bucket.refill(now, self.fleet_share.0);
+        let before = std::mem::replace(&mut self.fleet_share, FleetShare(fleet_share)).0;
+        if before == fleet_share {
+            return;
+        }
+        let recent = |totals: &BTreeMap<SmolStr, RunningTotal>, name: &SmolStr| {
+            totals.get(name).map_or(0.0, |total| total.recent(now))
+        };
+        for (name, bucket) in &mut self.buckets {
+            bucket.refill(now, before);
+            // Some of the others' charges are by instances that are not reached any more.
+            let others = recent(&self.zone_peers, name) + recent(&self.other_zones, name);
+            let recent = bucket.charged.recent(now) + fleet_share * others;
+            bucket.set_share(before, fleet_share, recent.max(0.0));
         }
-        self.fleet_share = FleetShare(fleet_share);
     }
 
     /// Charges a request to a customer if the limit allows it.
@@ -107,7 +127,7 @@
         };
         let decision = bucket.decide(now, fleet_share, tokens, 0);
         if decision == QuotaDecision::Allowed {
-            bucket.level -= tokens as f64;
+            bucket.deduct(tokens as f64);
             bucket.charged.add(now, tokens as i64);
         }
         decision
@@ -142,7 +162,7 @@
     /// Refunds the charge of a request that has not run.
     pub fn refund(&mut self, now: Duration, customer: &str, tokens: u64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
-            bucket.level = (bucket.level + tokens as f64).min(bucket.quota.burst);
+            bucket.deduct(-(tokens as f64));
             bucket.charged.add(now, -(tokens as i64));
         }
     }
@@ -183,6 +203,13 @@
     /// Applies the charges of all instances of another zone, as counted by its delegate.
     pub fn apply_zone_charges(&mut self, now: Duration, delegate: &str, charged: &CustomerCharges) {
         let change = self.update_reported(now, delegate, charged, false);
+        let zones = self
+            .other_zones
+            .entry(charged.customer.clone())
+            .or_default();
+        if change != 0 {
+            zones.add(now, change);
+        }
         self.debit(now, &charged.customer, change);
     }
 
@@ -226,7 +253,7 @@
         let fleet_share = self.fleet_share.0;
         if let Some(bucket) = self.buckets.get_mut(customer) {
             bucket.refill(now, fleet_share);
-            bucket.level = (bucket.level - tokens as f64).min(bucket.quota.burst);
+            bucket.deduct(tokens as f64);
         }
     }
 
@@ -268,9 +295,14 @@
         pending: u64,
     ) -> QuotaDecision {
         self.refill(now, fleet_share);
-        // A request larger than the burst is allowed when the bucket is full.
-        let needed = (tokens as f64).min(self.quota.burst);
-        let level = self.level - pending as f64;
+        // A request larger than the burst is allowed when the bucket is full. One request may be
+        // larger than the whole burst of a small part of the fleet, so there it is allowed while any
+        // tokens are left, and later ones wait until it is made up for.
+        let needed = match self.part {
+            Some(_) => 0.0,
+            None => (tokens as f64).min(self.quota.burst),
+        };
+        let level = self.part.unwrap_or(self.level) - pending as f64;
         if level >= needed {
             return QuotaDecision::Allowed;
         }
@@ -288,6 +320,36 @@
     fn refill(&mut self, now: Duration, fleet_share: f64) {
         let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
         self.refilled_at = now.max(self.refilled_at);
-        self.level = (self.level + elapsed * self.quota.rate * fleet_share).min(self.quota.burst);
+        self.level = (self.level + elapsed * self.quota.rate).min(self.quota.burst);
+        let max = self.quota.burst * fleet_share;
+        self.part = self
+            .part
+            .map(|part| (part + elapsed * self.quota.rate * fleet_share).min(max));
+    }
+
+    /// Deducts charged tokens or, if `tokens` is negative, returns them.
+    fn deduct(&mut self, tokens: f64) {
+        self.level = (self.level - tokens).min(self.quota.burst);
+        self.part = self.part.map(|part| (part - tokens).min(self.quota.burst));
+    }
+
+    /// Changes the fraction of the bucket that this side may use from `before` to `share`; `recent`
+    /// are the tokens that this side has charged lately.
+    ///
+    /// If the fraction falls by the factor `f`, the side would have had `f` of the level before the
+    /// recent charges, and `f` of what was refilled since: that leaves `f * (part + recent) - recent`.
+    fn set_share(&mut self, before: f64, share: f64, recent: f64) {
+        if share >= 1.0 {
+            // The charges of the instances that were not reached have been deducted from the level.
+            self.part = None;
+            return;
+        }
+        let part = self.part.unwrap_or(self.level);
+        let factor = share / before;
+        self.part = Some(if factor < 1.0 {
+            factor * (part + recent) - recent
+        } else {
+            part * factor
+        });
     }
 }
--- a/crates/routing/src/running_total.rs
+++ b/crates/routing/src/running_total.rs
@@ -47,6 +47,11 @@
         oldest.map_or(self.total, |(_, before)| *before)
     }
 
+    /// Returns the sum of the changes that are still reported.
+    pub fn recent(&self, now: Duration) -> f64 {
+        self.total as f64 - self.before(now) as f64
+    }
+
     fn remove_expired(&mut self, now: Duration) {
         while self
             .changes
