No new requests to servers that say that they leave

All instances now learn of it from the first one that hears it, and none sends it anything new until a restarted server registers.

The end-to-end test has the store refuse all calls; without the header it fails (the other instances never learn), with it it passes, as do the tests of limits and the event catalogue.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -174,6 +174,8 @@
     /// Requests per second that the server takes from all instances together, if the answer names
     /// such a limit.
     pub limit: Option<Result<f64, DecodeError>>,
+    /// Whether the server says that it leaves: it is about to stop and takes no new work.
+    pub is_leaving: bool,
 }
 
 /// Load of a backend server.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -41,8 +41,8 @@
     pub received_digests: RefCell<ReceivedDigests>,
     /// Permits for requests to backend servers that name a limit.
     pub permits: Permits,
-    /// Notified when peers should learn at once of a limit that a backend server named or lifted.
-    pub limits_changed: Notify,
+    /// Notified when peers should learn at once of what a backend server has said in an answer.
+    pub urgent_news: Notify,
     /// Notified when a peer may have newer rows of the store's tables.
     pub peer_rows_changed: Notify,
     /// Notified once when callers' connections are to be closed after the current request.
@@ -82,7 +82,7 @@
             metrics: Metrics::open()?,
             received_digests: RefCell::default(),
             permits: Permits::new(incarnation << PERMIT_NUMBER_BITS),
-            limits_changed: Notify::new(),
+            urgent_news: Notify::new(),
             peer_rows_changed: Notify::new(),
             close_connections: Notify::new(),
             stop_accepting: Notify::new(),
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -36,6 +36,8 @@
     ServerUnlimited = 1306,
     /// A backend server named a limit that cannot be decoded.
     LimitUnreadable = 1307,
+    /// A backend server has said in an answer that it leaves.
+    ServerLeaving = 1308,
     /// Reports of a peer instance, or of another zone, arrive for the first time or again.
     PeerRegained = 1401,
     /// Reports of a peer instance, or of another zone, no longer arrive.
@@ -72,7 +74,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -89,6 +91,7 @@
         Self::ServerLimited,
         Self::ServerUnlimited,
         Self::LimitUnreadable,
+        Self::ServerLeaving,
         Self::PeerRegained,
         Self::PeerLost,
         Self::InstanceRemoved,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::caller_request::{CallerRequest, remove_connection_headers};
 use crate::connection_pool::{Connection, RequestBody, connect};
 use crate::context::Context;
+use crate::departures;
 use crate::permits;
 use crate::server_limits;
 use crate::{AnswerHead, EngineRequest, EventCode, ServerHeaders};
@@ -239,6 +240,9 @@
             caller_send.is_none_or(|c| head.request_id.as_ref() == Some(&c.req.headers.request_id));
         if is_answer {
             server_limits::record(cx, server, now.saturating_sub(took), &head.limit);
+            if head.is_leaving {
+                departures::record(cx, server);
+            }
         }
         if head.is_not_run {
             cx.record_outcome(server, CallOutcome::NoCapacity);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod connection;
 mod connection_pool;
 mod context;
+mod departures;
 mod directory;
 mod drain;
 mod event_code;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::context::Context;
+use crate::departures::{self, Departure};
 use crate::freshness::{Freshness, TableChange};
 use crate::permits::{self, PermitAnswer, PermitMessage};
 use crate::registry::own_member;
@@ -40,8 +41,8 @@
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 
-/// Delay before a limit that was named or lifted is shared, so that one message carries several.
-const LIMIT_SHARE_DELAY: Duration = Duration::from_millis(5);
+/// Delay before urgent news is shared, so that one message carries several.
+const URGENT_NEWS_DELAY: Duration = Duration::from_millis(5);
 
 /// Version of the message format; datagrams of other versions are ignored.
 const VERSION: u16 = 4;
@@ -92,6 +93,9 @@
     /// Limits that backend servers have named or lifted lately.
     #[serde(default)]
     limits: Vec<SharedLimit>,
+    /// Backend servers that have said that they leave.
+    #[serde(default)]
+    departures: Vec<Departure>,
 }
 
 /// Summary of a zone that its delegate sends to other zones.
@@ -111,6 +115,9 @@
     /// Limits that backend servers have named or lifted lately.
     #[serde(default)]
     limits: Vec<SharedLimit>,
+    /// Backend servers that have said that they leave.
+    #[serde(default)]
+    departures: Vec<Departure>,
 }
 
 /// Digests that this instance has received from other zones and forwards within its own.
@@ -151,8 +158,8 @@
         let interval = report_interval(peers);
         tokio::select! {
             () = sleep_until(Instant::now() + interval) => {}
-            () = cx.limits_changed.notified() => {
-                sleep(LIMIT_SHARE_DELAY).await;
+            () = cx.urgent_news.notified() => {
+                sleep(URGENT_NEWS_DELAY).await;
                 next_digest = Instant::now();
             }
         }
@@ -237,6 +244,7 @@
         suspects: suspects(&state.suspect_requests),
         digests,
         limits: server_limits::recent(&state, now),
+        departures: departures::current(&state),
     }
 }
 
@@ -261,6 +269,7 @@
         reserved: state.pool.same_zone_reserved(now),
         suspects: suspects(&state.suspect_requests),
         limits: server_limits::recent(&state, now),
+        departures: departures::current(&state),
     }
 }
 
@@ -340,6 +349,7 @@
     drop(state);
     cx.peer_rows_changed.notify_waiters();
     server_limits::merge(cx, &report.limits);
+    departures::merge(cx, &report.departures);
     for digest in &report.digests {
         apply_digest(cx, digest);
     }
@@ -370,6 +380,7 @@
     state.merge_suspects(now, &digest.suspects);
     drop(state);
     server_limits::merge(cx, &digest.limits);
+    departures::merge(cx, &digest.departures);
 }
 
 impl crate::state::State {
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -58,7 +58,7 @@
         if let Some((server, change)) = changed {
             handle_change(cx, server, change, "peer");
             if is_delegate {
-                cx.limits_changed.notify_one();
+                cx.urgent_news.notify_one();
             }
         }
     }
@@ -99,7 +99,7 @@
     drop(state);
     if let Some(change) = change {
         handle_change(cx, server, change, "answer");
-        cx.limits_changed.notify_one();
+        cx.urgent_news.notify_one();
     }
 }
 
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -114,6 +114,9 @@
     pub local_prefills: u32,
     /// Time at which the registration expired while the store was unreachable, until it is renewed.
     pub expired_at: Option<Duration>,
+    /// Whether the server has said in an answer that it leaves. A restarted process is another
+    /// server, so this is never undone.
+    pub is_leaving: bool,
     /// Request limit that the server names.
     pub named_limit: NamedLimit,
     /// Time before which no permit for a request to the server is expected.
@@ -150,6 +153,7 @@
             own_tokens: 0,
             local_prefills: 0,
             expired_at: None,
+            is_leaving: false,
             named_limit: NamedLimit::default(),
             permits_from: Duration::ZERO,
             unlimited_sends: VecDeque::new(),
@@ -242,7 +246,7 @@
 
     /// Whether the server accepts new work.
     pub fn accepts_work(&self) -> bool {
-        self.entry.state == ServerState::Ready
+        self.entry.state == ServerState::Ready && !self.is_leaving
     }
 
     /// Records a send to the server; the latest ones without a permit count against a limit that
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -270,6 +270,24 @@
             .filter(move |(_, s)| !s.is_at_limit(pick.now))
     }
 
+    /// Records that a server leaves; returns whether that is new.
+    pub fn mark_leaving(&mut self, key: ServerKey) -> bool {
+        let server = self.servers.get_mut(key);
+        server.is_some_and(|s| !std::mem::replace(&mut s.is_leaving, true))
+    }
+
+    /// Returns the server with an identifier and start time, in milliseconds of Unix time.
+    pub fn find(&self, id: &str, started_ms: Option<u64>) -> Option<ServerKey> {
+        let key = self.by_id.get(id).copied()?;
+        (self.servers[key].entry.started_ms == started_ms).then_some(key)
+    }
+
+    /// Returns the servers that have said that they leave and are still registered.
+    pub fn leaving(&self) -> impl Iterator<Item = &ServerEntry> {
+        let servers = self.servers.values();
+        servers.filter(|s| s.is_leaving).map(|s| &s.entry)
+    }
+
     /// Returns the time until a server of a service may take requests again, if all of them are at
     /// the limits that they name; `None` otherwise.
     pub fn wait_for_limits(&self, now: Duration, service: &str) -> Option<Duration> {
