Servers that ask for a pause get nothing until it is over

The header was dropped: the next request went to the same server after 80 ms. During the pause nothing is sent, control calls included; one request ends it, and others follow once it was answered. Callers are refused at once with the time that is left if no server takes requests. Values that are negative, not a number or too large for a duration are logged (JL1311); pauses are cut at an hour.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -174,6 +174,9 @@
     /// Requests per second that the server takes from all instances together, if the answer names
     /// such a limit.
     pub limit: Option<Result<f64, DecodeError>>,
+    /// Time for which the server wants no requests from this instance, if it refuses this one and
+    /// names such a time.
+    pub pause: Option<Result<Duration, DecodeError>>,
     /// Whether the server says that it leaves: it is about to stop and takes no new work.
     pub is_leaving: bool,
 }
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -38,6 +38,12 @@
     LimitUnreadable = 1307,
     /// A backend server has said in an answer that it leaves.
     ServerLeaving = 1308,
+    /// A backend server has asked this instance for a pause.
+    PauseRequested = 1309,
+    /// A backend server has answered after a pause and asks for no further one.
+    PauseEnded = 1310,
+    /// A backend server asked for a pause that cannot be decoded.
+    PauseUnreadable = 1311,
     /// Reports of a peer instance, or of another zone, arrive for the first time or again.
     PeerRegained = 1401,
     /// Reports of a peer instance, or of another zone, no longer arrive.
@@ -74,7 +80,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 36] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -92,6 +98,9 @@
         Self::ServerUnlimited,
         Self::LimitUnreadable,
         Self::ServerLeaving,
+        Self::PauseRequested,
+        Self::PauseEnded,
+        Self::PauseUnreadable,
         Self::PeerRegained,
         Self::PeerLost,
         Self::InstanceRemoved,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use crate::connection_pool::{Connection, RequestBody, connect};
 use crate::context::Context;
 use crate::departures;
+use crate::pauses;
 use crate::permits;
 use crate::server_limits;
 use crate::{AnswerHead, EngineRequest, EventCode, ServerHeaders};
@@ -179,6 +180,9 @@
         let in_flight = InFlight::begin(cx, server);
         let started = cx.now();
         if let Some(s) = cx.state.borrow_mut().pool.get_mut(server) {
+            if s.requested_pause.is_active(started) {
+                return Err(PAUSED);
+            }
             s.record_send(started);
         }
         let result = timeout(within, send_request(cx, server, target, &call, caller_send)).await;
@@ -239,7 +243,9 @@
         let is_answer =
             caller_send.is_none_or(|c| head.request_id.as_ref() == Some(&c.req.headers.request_id));
         if is_answer {
-            server_limits::record(cx, server, now.saturating_sub(took), &head.limit);
+            let sent_at = now.saturating_sub(took);
+            server_limits::record(cx, server, sent_at, &head.limit);
+            pauses::record(cx, server, sent_at, &head.pause);
             if head.is_leaving {
                 departures::record(cx, server);
             }
@@ -321,8 +327,12 @@
     }
 }
 
-/// Reason for refusing a request: all servers that could run it are at the limits that they name.
-pub const SERVERS_AT_LIMIT: &str = "servers are at the limits that they name";
+/// Reason for refusing a request: no server that could run it takes requests for now, because of
+/// the limits that they name or the pauses that they ask for.
+pub const NO_SERVER_NOW: &str = "no server takes requests for now";
+
+/// The server has asked this instance for a pause.
+const PAUSED: SendError = SendError::Unsent("server has asked for a pause");
 
 /// The server did not answer within the time limit of the send.
 pub const TIMED_OUT: SendError = SendError::Lost("no answer in time");
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -17,7 +17,7 @@
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::exchange::{
-    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, SERVERS_AT_LIMIT, SendError, log_send_failure,
+    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_SERVER_NOW, SendError, log_send_failure,
 };
 use crate::permits::{self, AT_LIMIT};
 use crate::reservation::{KvCache, Reservation};
@@ -294,9 +294,9 @@
                 .state
                 .borrow()
                 .pool
-                .wait_for_limits(now, &self.req.service);
+                .wait_for_service(now, &self.req.service);
             if limited.is_some_and(|wait| now + wait >= until) {
-                return Err(self.refusal(SERVERS_AT_LIMIT));
+                return Err(self.refusal(NO_SERVER_NOW));
             }
             if now >= until {
                 self.log_no_capacity();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod generation;
 mod instance;
 mod metrics;
+mod pauses;
 mod peers;
 mod permits;
 mod plain;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -16,8 +16,7 @@
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::exchange::{
-    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, SERVERS_AT_LIMIT, SendError, TIMED_OUT,
-    log_send_failure,
+    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_SERVER_NOW, SendError, TIMED_OUT, log_send_failure,
 };
 use crate::suspects;
 
@@ -173,10 +172,10 @@
             });
         }
         let (now, service) = (self.cx.now(), &self.req.service);
-        let limited = self.cx.state.borrow().pool.wait_for_limits(now, service);
+        let limited = self.cx.state.borrow().pool.wait_for_service(now, service);
         if let Some(wait) = limited {
             let retry_after = wait.max(RETRY_AFTER_NO_SERVER);
-            return Err(Verdict::unavailable(SERVERS_AT_LIMIT, retry_after));
+            return Err(Verdict::unavailable(NO_SERVER_NOW, retry_after));
         }
         Err(match self.last_error {
             Some(KEY_REVOKED) => {
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -6,7 +6,7 @@
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 
-use crate::{COUNTED_BEFORE_LIMIT, Delegate, LIMIT_NOTICE, NamedLimit};
+use crate::{COUNTED_BEFORE_LIMIT, Delegate, LIMIT_NOTICE, NamedLimit, RequestedPause};
 
 new_key_type! {
     /// Key of a backend server in a [`ServerPool`](crate::ServerPool).
@@ -117,6 +117,8 @@
     /// Whether the server has said in an answer that it leaves. A restarted process is another
     /// server, so this is never undone.
     pub is_leaving: bool,
+    /// Pause that the server asks of this instance.
+    pub requested_pause: RequestedPause,
     /// Request limit that the server names.
     pub named_limit: NamedLimit,
     /// Time before which no permit for a request to the server is expected.
@@ -154,6 +156,7 @@
             local_prefills: 0,
             expired_at: None,
             is_leaving: false,
+            requested_pause: RequestedPause::default(),
             named_limit: NamedLimit::default(),
             permits_from: Duration::ZERO,
             unlimited_sends: VecDeque::new(),
@@ -252,6 +255,7 @@
     /// Records a send to the server; the latest ones without a permit count against a limit that
     /// the server names.
     pub fn record_send(&mut self, now: Duration) {
+        self.requested_pause.record_send(now);
         if self.named_limit.rate().is_some() {
             return;
         }
@@ -290,9 +294,13 @@
         }
     }
 
-    /// Whether permits for requests to the server are used up for now.
-    pub fn is_at_limit(&self, now: Duration) -> bool {
-        self.named_limit.rate().is_some() && now < self.permits_from
+    /// Returns the time for which the server takes no requests of this instance, because of a pause
+    /// that it asked for or because the permits for it are used up; `None` if it takes them.
+    pub fn wait(&self, now: Duration) -> Option<Duration> {
+        let permits_from = self.named_limit.rate().map(|_| self.permits_from);
+        let for_permit = permits_from.and_then(|at| at.checked_sub(now));
+        let for_permit = for_permit.filter(|wait| !wait.is_zero());
+        self.requested_pause.wait(now).max(for_permit)
     }
 
     /// Whether the server is paused because it was unresponsive.
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -194,7 +194,7 @@
                 + medians.penalty(pick.now, s)
         };
         self.available(pick.service)
-            .filter(|(key, s)| !pick.avoid.contains(key) && !s.is_at_limit(pick.now))
+            .filter(|(key, s)| !pick.avoid.contains(key) && s.wait(pick.now).is_none())
             .min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))
             .map(|(key, _)| key)
     }
@@ -267,7 +267,7 @@
     ) -> impl Iterator<Item = (ServerKey, &'a Server)> {
         self.available(pick.service)
             .filter(move |(key, s)| s.entry.role == Some(role) && !pick.avoid.contains(key))
-            .filter(move |(_, s)| !s.is_at_limit(pick.now))
+            .filter(move |(_, s)| s.wait(pick.now).is_none())
     }
 
     /// Records that a server leaves; returns whether that is new.
@@ -288,13 +288,10 @@
         servers.filter(|s| s.is_leaving).map(|s| &s.entry)
     }
 
-    /// Returns the time until a server of a service may take requests again, if all of them are at
-    /// the limits that they name; `None` otherwise.
-    pub fn wait_for_limits(&self, now: Duration, service: &str) -> Option<Duration> {
-        let waits = self.available(service).map(|(_, s)| {
-            s.is_at_limit(now)
-                .then(|| s.permits_from.saturating_sub(now))
-        });
+    /// Returns the time until a server of a service takes requests again, if none of them does now;
+    /// `None` otherwise.
+    pub fn wait_for_service(&self, now: Duration, service: &str) -> Option<Duration> {
+        let waits = self.available(service).map(|(_, s)| s.wait(now));
         waits.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
--- a/crates/routing/tests/server_limits.rs
+++ b/crates/routing/tests/server_limits.rs
@@ -1,4 +1,5 @@
-//! Servers in need, which name a limit of requests per second from all instances together.
+//! Servers in need: those that name a limit of requests per second from all instances together, and
+//! those that ask an instance for a pause.
 
 mod common;
 
@@ -7,7 +8,7 @@
 use common::{entry, pick};
 use jacinthlever_routing::{
     Delegate, LimitChange, LimitStatement, Member, MemberStatus, Membership, NamedLimit,
-    PermitCall, PermitLedger, ServerPool, ZoneDigest,
+    PermitCall, PermitLedger, RequestedPause, ServerPool, ZoneDigest,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -243,7 +244,7 @@
     assert_eq!(pool.pick_plain(&pick(NOW, &[])), Some(limited));
     pool.get_mut(limited).expect("known server").permits_from = at(0.3);
     assert_eq!(pool.pick_plain(&pick(NOW, &[])), Some(other));
-    assert_eq!(pool.wait_for_limits(NOW, "service"), None);
+    assert_eq!(pool.wait_for_service(NOW, "service"), None);
 }
 
 #[test]
@@ -255,10 +256,40 @@
         pool.get_mut(key).expect("known server").permits_from = at(wait);
     }
     assert_eq!(pool.pick_plain(&pick(NOW, &[])), None);
-    let wait = pool.wait_for_limits(NOW, "service");
+    let wait = pool.wait_for_service(NOW, "service");
     assert_eq!(wait, Some(Duration::from_millis(400)));
 }
 
+#[test]
+fn one_request_ends_a_pause_before_the_others_return() {
+    let mut pool = ServerPool::default();
+    let key = pool.register(entry("i-1", "a", None));
+    let mut pause = |now: f64, action: fn(&mut RequestedPause, Duration)| {
+        let server = pool.get_mut(key).expect("known server");
+        action(&mut server.requested_pause, at(now));
+        pool.wait_for_service(at(now), "service")
+    };
+    let wait = pause(0.0, |pause, now| pause.start(now + Duration::from_secs(2)));
+    assert_eq!(wait, Some(Duration::from_secs(2)));
+    let crossing = |pause: &mut RequestedPause, now| assert!(!pause.record_answer(now));
+    assert_eq!(pause(0.5, crossing), Some(Duration::from_millis(1500)));
+    assert_eq!(pause(2.0, |_, _| {}), None);
+    let wait = pause(2.1, |pause, now| pause.record_send(now));
+    assert_eq!(wait, Some(Duration::from_secs(1)));
+    let answer = |pause: &mut RequestedPause, _| assert!(pause.record_answer(at(2.1)));
+    assert_eq!(pause(2.2, answer), None);
+    assert_eq!(pause(2.3, |pause, now| pause.record_send(now)), None);
+}
+
+#[test]
+fn a_probe_without_an_answer_keeps_the_others_back_for_a_second_only() {
+    let mut pause = RequestedPause::default();
+    pause.start(at(2.0));
+    pause.record_send(at(2.5));
+    assert_eq!(pause.wait(at(3.0)), Some(Duration::from_millis(500)));
+    assert_eq!(pause.wait(at(3.5)), None);
+}
+
 // Two instances that both grant the permits of a server would together grant twice its limit.
 #[test]
 fn all_instances_agree_on_the_one_that_grants_permits() {
