Versions of the store stay ordered when it comes back from a copy

An instance compared versions across that. It ignored the next configurations for as long as their rows had lower versions, put the older one of the copy in force, and used servers again that drained or had left.

All versions now carry the era in their upper bits, where answers are decoded and calls encoded, so rows, reports and fencing tokens are ordered by it without a change elsewhere. A newer configuration stays in force and counts as unverified until it is written again; removed and draining servers of the copy are not used; each instance registers again.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -62,6 +62,8 @@
     pub read: fn(Table, &str) -> StoreRequest,
     /// Encodes a call that waits up to a duration for changes of a table after a version.
     pub watch: fn(Table, u64, Duration) -> StoreRequest,
+    /// Decodes the era of the store from the headers of an answer; `None` if they do not name it.
+    pub era: fn(&HeaderMap) -> Option<u64>,
     /// Decodes the answer to a read or a watch.
     pub rows: fn(&[u8]) -> Result<Rows, DecodeError>,
     /// Encodes a write or removal of a row that must have the expected version.
@@ -232,7 +234,7 @@
     pub key: SmolStr,
     /// Encoded content; `None` if the row was removed.
     pub value: Option<Vec<u8>>,
-    /// Version of the row.
+    /// Version of the row; see `store_version`.
     pub version: u64,
 }
 
@@ -241,7 +243,7 @@
 pub struct Rows {
     /// The rows.
     pub rows: Vec<Row>,
-    /// Newest version of the store at that moment.
+    /// Newest version of the store at that moment; see `store_version`.
     pub version: u64,
     /// Whether the table has more rows after these.
     pub has_more: bool,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -41,6 +41,10 @@
     pub received_digests: RefCell<ReceivedDigests>,
     /// Permits for requests to backend servers that name a limit.
     pub permits: Permits,
+    /// Highest era that the store has named; `None` before its first answer.
+    pub store_era: Cell<Option<u64>>,
+    /// Notified when the store has come back from a copy.
+    pub store_restored: Notify,
     /// Notified when peers should learn at once of what a backend server has said in an answer.
     pub urgent_news: Notify,
     /// Notified when a peer may have newer rows of the store's tables.
@@ -83,6 +87,8 @@
             received_digests: RefCell::default(),
             permits: Permits::new(incarnation << PERMIT_NUMBER_BITS),
             urgent_news: Notify::new(),
+            store_era: Cell::new(None),
+            store_restored: Notify::new(),
             peer_rows_changed: Notify::new(),
             close_connections: Notify::new(),
             stop_accepting: Notify::new(),
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -20,8 +20,12 @@
     StoreLost = 1102,
     /// A row of the store cannot be decoded.
     RowUnreadable = 1103,
+    /// The store has come back from a copy, and may have lost what was written since.
+    StoreRestored = 1104,
     /// A new configuration has come into force.
     ConfigApplied = 1201,
+    /// A restored store has an older configuration than the one in force, which stays in force.
+    ConfigOlder = 1202,
     /// A backend server was registered, or its registration changed.
     ServerChanged = 1301,
     /// A backend server is no longer registered, or its registration cannot be decoded.
@@ -80,7 +84,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 36] = [
+    pub const ALL: [Self; 38] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -89,7 +93,9 @@
         Self::StoreRegained,
         Self::StoreLost,
         Self::RowUnreadable,
+        Self::StoreRestored,
         Self::ConfigApplied,
+        Self::ConfigOlder,
         Self::ServerChanged,
         Self::ServerGone,
         Self::ServerSilent,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod state;
 mod store;
+mod store_version;
 mod stream;
 mod stream_record;
 mod suspects;
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -18,6 +18,10 @@
 /// Interval between renewals of the registration.
 const RENEW_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Maximum random delay before the registration is written again to a store that has come back from
+/// a copy, so that instances do not all write at once.
+const REWRITE_SPREAD: Duration = Duration::from_millis(1000);
+
 /// Width of the random spread of renewals, as a fraction of the interval.
 const RENEW_JITTER: f64 = 0.2;
 
@@ -59,7 +63,12 @@
     let mut stale = StaleRows::default();
     loop {
         let spread = 1.0 + RENEW_JITTER * (cx.random() - 0.5);
-        sleep(RENEW_INTERVAL.mul_f64(spread)).await;
+        tokio::select! {
+            () = sleep(RENEW_INTERVAL.mul_f64(spread)) => {}
+            () = cx.store_restored.notified() => {
+                sleep(REWRITE_SPREAD.mul_f64(cx.random())).await;
+            }
+        }
         register(cx.clone()).await;
         let is_remover = cx.state.borrow().members.is_fleet_delegate(cx.now());
         if is_remover {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -14,6 +14,7 @@
 
 use crate::connection_pool::{RequestBody, connect};
 use crate::context::Context;
+use crate::store_version;
 use crate::{EventCode, RowWrite, Rows, StoreRequest, Table, WatchResult};
 
 /// Maximum size of an answer of the store, in bytes.
@@ -36,6 +37,9 @@
     /// The answer broke off or stopped after this number of bytes of its body; a write was carried
     /// out.
     Incomplete(usize),
+    /// The answer is from the time before the store came back from a copy, or the store came back
+    /// while it was read.
+    Restored,
     /// The answer is larger than [`MAX_ANSWER_BYTES`].
     TooLarge,
     /// The store refused the call with this status; the call was not carried out.
@@ -52,6 +56,7 @@
             Self::Incomplete(bytes) => {
                 write!(f, "answer of the store incomplete after {bytes} bytes")
             }
+            Self::Restored => write!(f, "the store has come back from a copy meanwhile"),
             Self::TooLarge => {
                 write!(f, "answer of the store exceeds {MAX_ANSWER_BYTES} bytes")
             }
@@ -80,6 +85,8 @@
     sent_at: Duration,
     /// Number of bytes of the body of the present answer received so far.
     received: usize,
+    /// Era of the store in the last answer; `None` before the first one.
+    era: Option<u64>,
     is_lost: bool,
     recovered_at: Option<Duration>,
 }
@@ -94,12 +101,14 @@
             connection: None,
             sent_at: Duration::ZERO,
             received: 0,
+            era: None,
             is_lost: false,
             recovered_at: None,
         }
     }
 
-    /// Returns the time of the first answer after the last failure; `None` before any.
+    /// Returns the time of the first answer after the last failure, or since the store has come back
+    /// from a copy; `None` before any.
     pub fn recovered_at(&self) -> Option<Duration> {
         self.recovered_at
     }
@@ -112,11 +121,15 @@
         let dialect = self.cx.adapter.store;
         let mut all = Rows::default();
         let mut from = String::new();
+        let mut era = None;
         loop {
             let bytes = self
                 .call_ok((dialect.read)(table, &from), Duration::ZERO)
                 .await?;
-            let page = self.decode((dialect.rows)(&bytes))?;
+            let page = self.decode_rows(&bytes)?;
+            if *era.get_or_insert(self.era) != self.era {
+                return Err(self.record_error(StoreError::Restored));
+            }
             // Pages are read one after the other, so the watch must start from the version of the
             // first one to miss no change.
             let is_first = all.rows.is_empty();
@@ -144,10 +157,17 @@
         wait: Duration,
     ) -> Result<WatchResult, StoreError> {
         let dialect = self.cx.adapter.store;
-        let (status, bytes) = self.call((dialect.watch)(table, after, wait), wait).await?;
+        let era = store_version::era(after);
+        if self.cx.store_era.get().is_some_and(|known| known != era) {
+            return Ok(WatchResult::Compacted);
+        }
+        let call = (dialect.watch)(table, store_version::number(after), wait);
+        let (status, bytes) = self.call(call, wait).await?;
         match status {
             StatusCode::GONE => Ok(WatchResult::Compacted),
-            StatusCode::OK => Ok(WatchResult::Rows(self.decode((dialect.rows)(&bytes))?)),
+            // Changes after a version of a former era would leave a gap.
+            StatusCode::OK if self.era != Some(era) => Ok(WatchResult::Compacted),
+            StatusCode::OK => Ok(WatchResult::Rows(self.decode_rows(&bytes)?)),
             other => Err(self.record_error(StoreError::Refused(other))),
         }
     }
@@ -159,14 +179,40 @@
     /// been written.
     pub async fn write(&mut self, write: &RowWrite) -> Result<WriteResult, StoreError> {
         let dialect = self.cx.adapter.store;
-        let (status, bytes) = self.call((dialect.write)(write), Duration::ZERO).await?;
+        let expected_era = write.expected.filter(|v| *v > 0).map(store_version::era);
+        let is_other_era = |era: Option<u64>| expected_era.is_some_and(|e| era != Some(e));
+        if self.cx.store_era.get().is_some() && is_other_era(self.cx.store_era.get()) {
+            return Ok(WriteResult::Conflict);
+        }
+        let call = (dialect.write)(&RowWrite {
+            expected: write.expected.map(store_version::number),
+            ..write.clone()
+        });
+        let (status, bytes) = self.call(call, Duration::ZERO).await?;
         match status {
             StatusCode::PRECONDITION_FAILED => Ok(WriteResult::Conflict),
-            StatusCode::OK => Ok(WriteResult::Done(self.decode((dialect.written)(&bytes))?)),
+            // The row that had the expected version was not the one that was meant.
+            StatusCode::OK if is_other_era(self.era) => Ok(WriteResult::Conflict),
+            StatusCode::OK => {
+                let number = self.decode((dialect.written)(&bytes))?;
+                let era = self.era.unwrap_or(0);
+                Ok(WriteResult::Done(store_version::version(era, number)))
+            }
             other => Err(self.record_error(StoreError::Refused(other))),
         }
     }
 
+    /// Decodes rows, and combines their versions with the era of the answer.
+    fn decode_rows(&mut self, bytes: &[u8]) -> Result<Rows, StoreError> {
+        let mut rows = self.decode((self.cx.adapter.store.rows)(bytes))?;
+        let era = self.era.unwrap_or(0);
+        rows.version = store_version::version(era, rows.version);
+        for row in &mut rows.rows {
+            row.version = store_version::version(era, row.version);
+        }
+        Ok(rows)
+    }
+
     fn decode<T>(&mut self, decoded: Result<T, crate::DecodeError>) -> Result<T, StoreError> {
         decoded.map_err(|error| self.record_error(StoreError::Unreadable(error.to_string())))
     }
@@ -218,11 +264,39 @@
             .await
             .unwrap_or(Err(StoreError::Unanswered))?;
         let status = response.status();
+        let era = (self.cx.adapter.store.era)(response.headers());
+        self.record_era(era)?;
         let bytes = self.receive_body(response.into_body()).await?;
         self.connection = Some(sender);
         Ok((status, bytes))
     }
 
+    /// Records the era of an answer.
+    ///
+    /// # Errors
+    /// Fails if the answer is from a former era.
+    fn record_era(&mut self, named: Option<u64>) -> Result<(), StoreError> {
+        let known = self.cx.store_era.get();
+        let era = named.or(known).unwrap_or(0);
+        match known {
+            Some(known) if era < known => return Err(StoreError::Restored),
+            Some(known) if era > known => {
+                self.cx.log(
+                    EventCode::StoreRestored,
+                    [("era", era.into()), ("before", known.into())],
+                );
+                self.cx.store_restored.notify_waiters();
+            }
+            _ => {}
+        }
+        self.cx.store_era.set(Some(era));
+        if self.era.is_some_and(|last| last != era) {
+            self.recovered_at = Some(self.cx.now());
+        }
+        self.era = Some(era);
+        Ok(())
+    }
+
     /// Sends a call and waits until its answer begins.
     async fn send(
         &mut self,
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -10,7 +10,10 @@
 use crate::freshness::{Freshness, TableChange};
 use crate::state::State;
 use crate::store::{StoreClient, StoreError};
-use crate::table_updates::{apply_config, apply_server, remove_missing_servers};
+use crate::store_version;
+use crate::table_updates::{
+    ConfigUpdate, apply_config, apply_restored_server, apply_server, remove_missing_servers,
+};
 use crate::{Row, Rows, Table, WatchResult};
 
 /// Maximum time that the store waits for changes before it answers a watch.
@@ -47,6 +50,10 @@
 /// read from the store.
 const PEER_CHANGES_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Time after a read of a restored table until it is read again. By then the registrations of servers
+/// that no longer run have expired, so the others may be used although they had been removed before.
+const RESTORED_READ_DELAY: Duration = Duration::from_secs(10);
+
 /// Factor on the pause after a failed call on instances that are not store watchers, since others
 /// watch for the zone.
 const NON_WATCHER_BACKOFF_FACTOR: u32 = 3;
@@ -60,6 +67,9 @@
         table,
         version: None,
         behind_since: None,
+        era: None,
+        read_again_at: None,
+        is_config_older: false,
         backoff: Backoff::default(),
     };
     loop {
@@ -77,19 +87,31 @@
     version: Option<u64>,
     /// When a peer first reported newer rows than this copy has.
     behind_since: Option<Duration>,
+    /// Era of the store in which the complete table was last read.
+    era: Option<u64>,
+    /// When the complete table is read again after the store has come back from a copy.
+    read_again_at: Option<Duration>,
+    /// Whether the store has an older configuration than the one in force, so that no answer verifies
+    /// the latter.
+    is_config_older: bool,
     backoff: Backoff,
 }
 
 impl TableSync {
     /// Reads or watches the table once, or waits until that may be needed.
     async fn step(&mut self) {
+        if self.read_again_at.is_some_and(|at| self.cx.now() >= at) {
+            self.read_again_at = None;
+            self.version = None;
+        }
         let Some(after) = self.version else {
             let result = self.read().await;
             return self.pause_after(result).await;
         };
         let must_watch = self.must_watch();
         if must_watch || self.must_catch_up() {
-            let wait = if must_watch && !self.is_verification_old() {
+            let can_wait = self.is_config_older || !self.is_verification_old();
+            let wait = if must_watch && can_wait {
                 MAX_WATCH_WAIT
             } else {
                 Duration::ZERO
@@ -155,7 +177,7 @@
 
     /// Whether newer rows must be read from the store because no peer has sent them.
     fn must_catch_up(&mut self) -> bool {
-        if !self.is_behind() {
+        if self.is_config_older || !self.is_behind() {
             self.behind_since = None;
             return false;
         }
@@ -196,8 +218,15 @@
         let rows = self.client.read(self.table).await?;
         self.record_recovery();
         remove_missing_servers(&self.cx, self.table, &rows);
+        let era = store_version::era(rows.version);
+        let is_restored = self.era.replace(era).is_some_and(|last| last != era);
         self.version = Some(rows.version);
-        self.apply(start, &rows);
+        if is_restored {
+            self.read_again_at = Some(start.at + RESTORED_READ_DELAY);
+            self.apply(start, &rows, apply_restored_server);
+        } else {
+            self.apply(start, &rows, apply_server);
+        }
         Ok(true)
     }
 
@@ -215,7 +244,7 @@
                 let has_changes = !rows.rows.is_empty();
                 self.version = Some(rows.version.max(after));
                 let from = self.freshness(&self.cx.state.borrow()).row;
-                self.apply(start, &rows);
+                self.apply(start, &rows, apply_server);
                 self.share(from, rows.rows);
                 Ok(has_changes)
             }
@@ -228,16 +257,22 @@
         }
     }
 
-    fn apply(&self, start: CallStart, rows: &Rows) {
+    fn apply(&mut self, start: CallStart, rows: &Rows, apply_server: fn(&Context, &Row)) {
         let newest = rows.rows.iter().map(|row| row.version).max();
         for row in &rows.rows {
-            match self.table {
-                // A configuration that cannot be decoded may revoke a key, so the older one must no
-                // longer count as verified.
-                Table::Config if !apply_config(&self.cx, row) => return,
-                Table::Config => {}
-                _ => apply_server(&self.cx, row),
+            if self.table != Table::Config {
+                apply_server(&self.cx, row);
+                continue;
             }
+            let update = apply_config(&self.cx, row);
+            self.is_config_older = update == ConfigUpdate::Older;
+            if update == ConfigUpdate::Unreadable {
+                // It may revoke a key, so the older one must no longer count as verified.
+                return;
+            }
+        }
+        if self.is_config_older {
+            return;
         }
         let mut state = self.cx.state.borrow_mut();
         state.store_clock.observe(start.at, rows.store_ms);
--- a/crates/gateway/src/table_updates.rs
+++ b/crates/gateway/src/table_updates.rs
@@ -55,19 +55,36 @@
     );
 }
 
-/// Puts the configuration in a row in force; `false` if the row cannot be decoded.
-pub fn apply_config(cx: &Context, row: &Row) -> bool {
+/// What a row of the configuration is to the one in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConfigUpdate {
+    /// It is the one in force, or has replaced it.
+    Current,
+    /// It is older, as after the store has come back from a copy.
+    Older,
+    /// It cannot be decoded.
+    Unreadable,
+}
+
+/// Puts the configuration in a row in force, unless that would replace a newer one.
+pub fn apply_config(cx: &Context, row: &Row) -> ConfigUpdate {
     let Some(value) = &row.value else {
-        return false;
+        return ConfigUpdate::Unreadable;
     };
     let config = match (cx.adapter.store.config)(value) {
         Ok(config) => config,
         Err(error) => {
             log_unreadable_row(cx, row, error.to_string());
-            return false;
+            return ConfigUpdate::Unreadable;
         }
     };
     let number = config.version;
+    let in_force = cx.state.borrow().config.as_ref().map(|c| c.version);
+    if in_force.is_some_and(|in_force| number < in_force) {
+        let fields = [("version", number.into()), ("in_force", in_force.into())];
+        cx.log(EventCode::ConfigOlder, fields);
+        return ConfigUpdate::Older;
+    }
     let applied = cx.state.borrow_mut().apply(cx.now(), row.version, config);
     if applied {
         let fields = [
@@ -77,7 +94,7 @@
         ];
         cx.log(EventCode::ConfigApplied, fields);
     }
-    true
+    ConfigUpdate::Current
 }
 
 /// Applies a registration of a backend server, or its removal. A row that cannot be decoded counts
@@ -108,6 +125,21 @@
     cx.capacity_queue.notify_waiters();
 }
 
+/// Applies a registration from a read of the complete table. One that had been removed comes back
+/// only if its server writes it again: the store may have come back from a copy.
+pub fn apply_restored_server(cx: &Context, row: &Row) {
+    let entry = row
+        .value
+        .as_ref()
+        .map(|value| (cx.adapter.store.server)(&row.key, value));
+    if let Some(Ok(entry)) = entry
+        && cx.state.borrow().pool.was_removed(cx.now(), &entry)
+    {
+        return;
+    }
+    apply_server(cx, row);
+}
+
 fn remove_server(cx: &Context, id: &SmolStr) {
     let now = cx.now();
     let mut state = cx.state.borrow_mut();
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -6,11 +6,18 @@
 use slotmap::SlotMap;
 use smol_str::SmolStr;
 
-use crate::{CallOutcome, EngineRole, LimitChange, LimitStatement, Server, ServerEntry, ServerKey};
+use crate::{
+    CallOutcome, EngineRole, LimitChange, LimitStatement, Server, ServerEntry, ServerKey,
+    ServerState,
+};
 
 /// Time for which a registration is still used that expired while the store was unreachable.
 const EXPIRED_GRACE_PERIOD: Duration = Duration::from_millis(2000);
 
+/// Time for which a removed registration is remembered; a copy of the store from which it comes back
+/// is only seconds old.
+const REMOVED_MEMORY: Duration = Duration::from_secs(60);
+
 /// Cost of a server in another zone, in the unit of the load: 1 is the load of a server whose slots
 /// are all in use.
 const REMOTE_ZONE_COST: f64 = 0.5;
@@ -80,6 +87,8 @@
 pub struct ServerPool {
     servers: SlotMap<ServerKey, Server>,
     by_id: BTreeMap<SmolStr, ServerKey>,
+    /// Start time of servers whose registration was removed, and when that was.
+    removed: BTreeMap<SmolStr, (Option<u64>, Duration)>,
 }
 
 impl ServerPool {
@@ -87,13 +96,19 @@
     ///
     /// A restarted server that kept its identifier gets a new key, and nothing of its previous
     /// state remains.
-    pub fn register(&mut self, entry: ServerEntry) -> ServerKey {
+    pub fn register(&mut self, mut entry: ServerEntry) -> ServerKey {
+        self.removed.remove(&entry.id);
         if let Some(key) = self.by_id.get(&entry.id).copied() {
             let known = &self.servers[key].entry;
             let restarted = known.started_ms.is_some()
                 && entry.started_ms.is_some()
                 && known.started_ms != entry.started_ms;
             if !restarted && known.address == entry.address {
+                // A server that drains never accepts work again, but a store that has come back
+                // from a copy may have its earlier registration.
+                if known.state == ServerState::Draining {
+                    entry.state = ServerState::Draining;
+                }
                 let server = &mut self.servers[key];
                 server.entry = entry;
                 server.expired_at = None;
@@ -119,11 +134,21 @@
             self.servers[key].expired_at.get_or_insert(now);
             return;
         }
+        let started_ms = self.servers[key].entry.started_ms;
+        self.removed.insert(id.into(), (started_ms, now));
         self.remove(id);
     }
 
+    /// Whether the registration of this server process was removed lately.
+    pub fn was_removed(&self, now: Duration, entry: &ServerEntry) -> bool {
+        self.removed.get(&entry.id).is_some_and(|(started_ms, at)| {
+            *started_ms == entry.started_ms && now < *at + REMOVED_MEMORY
+        })
+    }
+
     /// Removes servers whose registration expired and was not renewed within the grace period.
     pub fn remove_expired(&mut self, now: Duration) {
+        self.removed.retain(|_, (_, at)| now < *at + REMOVED_MEMORY);
         let is_expired = |s: &Server| {
             s.expired_at
                 .is_some_and(|at| now >= at + EXPIRED_GRACE_PERIOD)
