Soak: a store that comes back from a copy

On every second seed, with a generator of its own; what was lost is written again 0.2 to 1.5 s later.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -28,6 +28,9 @@
     LoseResponses,
     /// The store performs writes seconds later and does not respond to them.
     DelayWrites,
+    /// The store comes back from a copy that is some seconds old; what it lost is written again at the
+    /// end of the fault.
+    Restore,
 }
 
 /// The way in which a backend server fails for a time.
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -72,11 +72,26 @@
             at += MEAN_INTERVAL.mul_f64(factor);
         }
         faults.extend(named_limits(seed, length, fleet));
+        faults.extend(restore(seed, length));
         faults.sort_by_key(|planned| planned.at);
         Self { faults }
     }
 }
 
+/// Returns, for every second seed, a restore of the store from a copy.
+///
+/// It has a generator of its own, so that the other faults of a seed stay the same.
+fn restore(seed: u64, length: Duration) -> Option<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let at = length.mul_f64(rng.random_range(0.3..0.8));
+    let duration = Duration::from_millis(rng.random_range(200..1500));
+    (seed.is_multiple_of(2)).then_some(PlannedFault {
+        at,
+        duration,
+        fault: Fault::Store(StoreFault::Restore),
+    })
+}
+
 /// Returns the limits that servers name during a run, many of them at the same time: with few of
 /// them the others take the requests.
 ///
