Quotas: a customer added during a partition gets a share of its burst

Found when the diff was read: a bucket that is made while only a part of the fleet is reached had the whole burst, on each part. The test fails without the change and passes with it.

--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -86,7 +86,7 @@
             let bucket = self.buckets.entry(name).or_insert(Bucket {
                 quota,
                 level: quota.burst,
-                part: None,
+                part: (fleet_share < 1.0).then_some(quota.burst * fleet_share),
                 refilled_at: now,
                 charged: RunningTotal::default(),
                 pending: 0,
--- a/crates/routing/tests/quotas.rs
+++ b/crates/routing/tests/quotas.rs
@@ -100,6 +100,17 @@
     assert!(total <= 1_000 * seconds + 2 * 2_000, "{total} tokens");
 }
 
+// Guards against a whole burst for a new customer on each part of a fleet.
+#[test]
+fn a_customer_that_is_added_during_a_partition_gets_a_share_of_its_burst() {
+    let mut ledger = QuotaLedger::default();
+    ledger.set_fleet_share(Duration::ZERO, 0.25);
+    let customer = (SmolStr::new("crews"), Some(QUOTA));
+    ledger.configure(Duration::ZERO, [customer].into_iter());
+    assert!(try_charge(&mut ledger, Duration::ZERO, 600));
+    assert!(!try_charge(&mut ledger, Duration::ZERO, 100));
+}
+
 #[test]
 fn a_lower_limit_applies_immediately() {
     let mut ledger = ledger(Duration::ZERO);
