--- a/crates/gateway/src/pauses.rs
+++ b/crates/gateway/src/pauses.rs
@@ -11,11 +11,11 @@
 /// ever.
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
 
-/// Maximum random extension of a pause, as a fraction of it and in all, so that instances do not
-/// all return at the same moment.
+/// Maximum random extension of a pause, as a fraction of it: instances should not all return at the
+/// same moment.
 const JITTER_RATIO: f64 = 0.1;
 
-/// Maximum random extension of a pause.
+/// Maximum random extension of a pause of any length.
 const MAX_JITTER: Duration = Duration::from_secs(1);
 
 /// Records the pause in an answer of a server, or that it asks for none, to a request that was sent
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -140,12 +140,9 @@
         return;
     }
     match delegate {
-        Delegate::Own => {
-            let _no_permits_needed = grant(cx, &call);
-        }
-        Delegate::Peer(address) => {
-            start_call(cx, &call, &address);
-        }
+        // The call asks for no permits, so its result does not matter.
+        Delegate::Own => drop(grant(cx, &call)),
+        Delegate::Peer(address) => drop(start_call(cx, &call, &address)),
     }
 }
 
--- a/crates/routing/src/permit_ledger.rs
+++ b/crates/routing/src/permit_ledger.rs
@@ -8,8 +8,8 @@
 /// Window in which a server counts the requests that it gets.
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// Time after a server has named a limit from which it counts. Its first window therefore begins
-/// earlier than the limit, by the difference to [`WINDOW`].
+/// Time after a server has named a limit from which it counts its requests. It is shorter than the
+/// window, so the first window begins before the limit.
 pub const LIMIT_NOTICE: Duration = Duration::from_secs(3);
 
 /// Number of requests in a window that a server accepts beyond one and a half times its limit.
