Names and comments after a newcomer's reading of the change

Renamed: Server::wait to wait_before_requests, the store client's exchange to send_and_receive, REMOVED_MEMORY to REMOVED_RETENTION, the file limit_check to limit_period, in which its only type is, and names in the test of quotas. Explained: the numbers of permit calls, what a restored read ignores, what applying rows records. No decision changes.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -15,7 +15,8 @@
 use crate::state::State;
 use crate::{Adapter, Clock, EventCode, EventLog, Settings, metrics::Metrics};
 
-/// Bits for the calls for permits of one process below its start time.
+/// Number of low bits that number the permit calls of one process. The bits above hold its start time,
+/// so the numbers of two processes at the same address differ.
 const PERMIT_NUMBER_BITS: u32 = 20;
 
 /// Shared context of a running instance. All its tasks run on one thread; only the event log has a
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -290,12 +290,12 @@
                 return Ok(reservation);
             }
             let now = cx.now();
-            let limited = cx
+            let wait = cx
                 .state
                 .borrow()
                 .pool
                 .wait_for_service(now, &self.req.service);
-            if limited.is_some_and(|wait| now + wait >= until) {
+            if wait.is_some_and(|wait| now + wait >= until) {
                 return Err(self.refusal(NO_SERVER_NOW));
             }
             if now >= until {
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -31,7 +31,7 @@
 /// to it sooner: its limit may be raised or lifted.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
-/// The limits of the server leave no request for now.
+/// The limit of the server leaves no request for now.
 pub const AT_LIMIT: SendError = SendError::Unsent("server is at the limit that it names");
 
 /// The instance that grants permits for the server did not answer.
@@ -46,6 +46,7 @@
     /// Limit of the server in requests per second.
     rate: f64,
     requests: u32,
+    /// See [`PermitCall::sent_before`].
     sent_before: u32,
 }
 
@@ -177,6 +178,7 @@
     Some((call, delegate))
 }
 
+/// Grants permits from the ledger of this instance or, with an error, returns the time until it may.
 fn grant(cx: &Context, call: &PermitCall) -> Result<(), Duration> {
     let now = cx.now();
     let share = cx.state.borrow().members.reachable_share(now);
@@ -194,6 +196,7 @@
     Some(wait.map_or(Ok(()), Err))
 }
 
+/// Sends a call to another instance and returns its number; `None` if the address is invalid.
 fn start_call(cx: &Context, call: &PermitCall, address: &str) -> Option<u64> {
     let to = address.parse().ok()?;
     let number = cx.permits.next_number.get();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -172,8 +172,8 @@
             });
         }
         let (now, service) = (self.cx.now(), &self.req.service);
-        let limited = self.cx.state.borrow().pool.wait_for_service(now, service);
-        if let Some(wait) = limited {
+        let wait = self.cx.state.borrow().pool.wait_for_service(now, service);
+        if let Some(wait) = wait {
             let retry_after = wait.max(RETRY_AFTER_NO_SERVER);
             return Err(Verdict::unavailable(NO_SERVER_NOW, retry_after));
         }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -233,7 +233,7 @@
         self.cx.metrics.count_store_call(self.duty);
         self.sent_at = self.cx.now();
         self.received = 0;
-        let result = self.exchange(call, wait).await;
+        let result = self.send_and_receive(call, wait).await;
         let took = self.cx.now().saturating_sub(self.sent_at);
         self.cx
             .metrics
@@ -255,7 +255,8 @@
         }
     }
 
-    async fn exchange(
+    /// Sends a call and receives its complete answer.
+    async fn send_and_receive(
         &mut self,
         call: StoreRequest,
         wait: Duration,
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -257,11 +257,13 @@
         }
     }
 
-    fn apply(&mut self, start: CallStart, rows: &Rows, apply_server: fn(&Context, &Row)) {
+    /// Applies rows and records that they were current when the call was sent; `register` applies a
+    /// row of the servers.
+    fn apply(&mut self, start: CallStart, rows: &Rows, register: fn(&Context, &Row)) {
         let newest = rows.rows.iter().map(|row| row.version).max();
         for row in &rows.rows {
             if self.table != Table::Config {
-                apply_server(&self.cx, row);
+                register(&self.cx, row);
                 continue;
             }
             let update = apply_config(&self.cx, row);
--- a/crates/gateway/src/table_updates.rs
+++ b/crates/gateway/src/table_updates.rs
@@ -125,8 +125,8 @@
     cx.capacity_queue.notify_waiters();
 }
 
-/// Applies a registration from a read of the complete table. One that had been removed comes back
-/// only if its server writes it again: the store may have come back from a copy.
+/// Applies a registration from the first read after the store has come back from a copy. One that had
+/// been removed before is ignored: its server may have left since the copy was made.
 pub fn apply_restored_server(cx: &Context, row: &Row) {
     let entry = row
         .value
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -296,7 +296,7 @@
 
     /// Returns the time for which the server takes no requests of this instance, because of a pause
     /// that it asked for or because the permits for it are used up; `None` if it takes them.
-    pub fn wait(&self, now: Duration) -> Option<Duration> {
+    pub fn wait_before_requests(&self, now: Duration) -> Option<Duration> {
         let permits_from = self.named_limit.rate().map(|_| self.permits_from);
         let for_permit = permits_from.and_then(|at| at.checked_sub(now));
         let for_permit = for_permit.filter(|wait| !wait.is_zero());
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -16,7 +16,7 @@
 
 /// Time for which a removed registration is remembered; a copy of the store from which it comes back
 /// is only seconds old.
-const REMOVED_MEMORY: Duration = Duration::from_secs(60);
+const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
 /// Cost of a server in another zone, in the unit of the load: 1 is the load of a server whose slots
 /// are all in use.
@@ -142,13 +142,14 @@
     /// Whether the registration of this server process was removed lately.
     pub fn was_removed(&self, now: Duration, entry: &ServerEntry) -> bool {
         self.removed.get(&entry.id).is_some_and(|(started_ms, at)| {
-            *started_ms == entry.started_ms && now < *at + REMOVED_MEMORY
+            *started_ms == entry.started_ms && now < *at + REMOVED_RETENTION
         })
     }
 
     /// Removes servers whose registration expired and was not renewed within the grace period.
     pub fn remove_expired(&mut self, now: Duration) {
-        self.removed.retain(|_, (_, at)| now < *at + REMOVED_MEMORY);
+        self.removed
+            .retain(|_, (_, at)| now < *at + REMOVED_RETENTION);
         let is_expired = |s: &Server| {
             s.expired_at
                 .is_some_and(|at| now >= at + EXPIRED_GRACE_PERIOD)
@@ -219,7 +220,9 @@
                 + medians.penalty(pick.now, s)
         };
         self.available(pick.service)
-            .filter(|(key, s)| !pick.avoid.contains(key) && s.wait(pick.now).is_none())
+            .filter(|(key, s)| {
+                !pick.avoid.contains(key) && s.wait_before_requests(pick.now).is_none()
+            })
             .min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))
             .map(|(key, _)| key)
     }
@@ -292,7 +295,7 @@
     ) -> impl Iterator<Item = (ServerKey, &'a Server)> {
         self.available(pick.service)
             .filter(move |(key, s)| s.entry.role == Some(role) && !pick.avoid.contains(key))
-            .filter(move |(_, s)| s.wait(pick.now).is_none())
+            .filter(move |(_, s)| s.wait_before_requests(pick.now).is_none())
     }
 
     /// Records that a server leaves; returns whether that is new.
@@ -316,7 +319,9 @@
     /// Returns the time until a server of a service takes requests again, if none of them does now;
     /// `None` otherwise.
     pub fn wait_for_service(&self, now: Duration, service: &str) -> Option<Duration> {
-        let waits = self.available(service).map(|(_, s)| s.wait(now));
+        let waits = self
+            .available(service)
+            .map(|(_, s)| s.wait_before_requests(now));
         waits.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
--- a/crates/routing/tests/cut_off_quotas.rs
+++ b/crates/routing/tests/cut_off_quotas.rs
@@ -27,7 +27,7 @@
 const DETECTION_MS: u64 = 1200;
 
 /// Time after which an instance that is cut off from the store as well refuses all keys.
-const KEY_PROOF_MS: u64 = 4300;
+const KEY_VERIFICATION_MS: u64 = 4300;
 
 /// The instances of a fleet, with the messages between them.
 struct Fleet {
@@ -66,12 +66,12 @@
     fn receive(&mut self, now: u64, demand: f64) {
         let at = Duration::from_millis(now);
         for n in 0..INSTANCES {
-            let has_proof = self.cuts[n]
-                .is_none_or(|(from, until)| !(from + KEY_PROOF_MS..until).contains(&now));
+            let is_key_verified = self.cuts[n]
+                .is_none_or(|(from, until)| !(from + KEY_VERIFICATION_MS..until).contains(&now));
             let tokens = self.rng.random_range(500..8000);
             let mean = 4250.0 * INSTANCES as f64;
             let probability = demand * STEP_MS as f64 / 1000.0 / mean;
-            if !has_proof || !self.rng.random_bool(probability) {
+            if !is_key_verified || !self.rng.random_bool(probability) {
                 continue;
             }
             self.requests += 1;
@@ -139,8 +139,8 @@
 fn instances_that_are_cut_off_while_a_customer_presses_keep_its_limit() {
     for seed in 0..20 {
         let mut fleet = Fleet::new(seed);
-        let hot_from = fleet.rng.random_range(3000..7000);
-        let cut_from = hot_from + fleet.rng.random_range(0..2500);
+        let pressing_from = fleet.rng.random_range(3000..7000);
+        let cut_from = pressing_from + fleet.rng.random_range(0..2500);
         let cut_until = cut_from + 8000;
         let share = fleet.rng.random_range(0.1..0.6);
         for n in 0..INSTANCES {
@@ -149,10 +149,10 @@
             }
         }
         for now in (0..24_000).step_by(STEP_MS as usize) {
-            let is_hot = (hot_from..hot_from + 12_000).contains(&now);
+            let is_pressing = (pressing_from..pressing_from + 12_000).contains(&now);
             fleet.notice(now);
             fleet.report(now);
-            fleet.receive(now, QUOTA.rate * if is_hot { 3.5 } else { 0.5 });
+            fleet.receive(now, QUOTA.rate * if is_pressing { 3.5 } else { 0.5 });
         }
         fleet.check(seed);
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,11 +8,11 @@
 mod fault;
 mod fault_plan;
 mod ledger;
-mod limit_check;
+mod limit_period;
 mod proxy;
 
 pub use fault::{Fault, LinkFault, ServerFault, StoreFault};
 pub use fault_plan::{FaultPlan, FleetSize, PlannedFault};
 pub use ledger::{CallerOutcome, Ledger, Limit, Run, SentRequest};
-pub use limit_check::LimitPeriod;
+pub use limit_period::LimitPeriod;
 pub use proxy::{Impairment, Proxy};
--- a/crates/soak/src/limit_check.rs
+++ b/crates/soak/src/limit_period.rs
@@ -1,4 +1,4 @@
-//! Checks that backend servers get no more requests than the limits that they name allow.
+//! A time for which a backend server names a limit, and the check that it is kept.
 
 use std::time::Duration;
 
