Crashed runs say which parts their prompts have and how long they were answered

The adapter decodes the parts that prompts may share; JL1508 names them, the server, how the run ended and for how long its answer had been arriving, and jacinthlever_crashed_runs counts crashed runs by service and by whether their answers had begun. No decision changes.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, Method, StatusCode};
-use jacinthlever_routing::{EngineRole, FleetConfig, ServerEntry};
+use jacinthlever_routing::{EngineRole, FleetConfig, PromptPart, ServerEntry};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -114,6 +114,8 @@
     pub timeout: Option<Duration>,
     /// Size of the generation; `None` if the request is not for a model.
     pub generation: Option<GenerationSpec>,
+    /// Parts of the prompt that other prompts may share, in order; empty if they are not stated.
+    pub shared_parts: Vec<PromptPart>,
     /// Number of the last event that the caller has received of this stream, if it resumes one.
     pub last_event: Option<u64>,
 }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -22,6 +22,7 @@
 use crate::permits::{self, AT_LIMIT};
 use crate::reservation::{KvCache, Reservation};
 use crate::stream::StreamForwarder;
+use crate::suspects::{self, BrokenRun};
 use crate::{EventCode, ServerHeaders};
 
 /// Number of requests of a decode to its engine: the reservation, and the decode or the release.
@@ -240,7 +241,12 @@
         }
         if error.may_have_run() {
             self.record_failure(server);
-            crate::suspects::check_for_crash(&self.cx, server, &self.req);
+            let run = BrokenRun {
+                server,
+                cause: error,
+                answer_began_at: None,
+            };
+            suspects::check_for_crash(&self.cx, run, &self.req);
             if !self.may_retry() {
                 return Err(Verdict::lost("engine gave no answer"));
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     store_answer_time: Histogram<f64>,
     store_answer_bytes: Counter<u64>,
     limited_servers: Gauge<u64>,
+    crashed_runs: Counter<u64>,
 }
 
 impl Metrics {
@@ -65,6 +66,7 @@
             store_answer_time,
             store_answer_bytes: meter.u64_counter("jacinthlever_store_answer_bytes").build(),
             limited_servers: meter.u64_gauge("jacinthlever_limited_servers").build(),
+            crashed_runs: meter.u64_counter("jacinthlever_crashed_runs").build(),
             registry,
             _provider: provider,
         })
@@ -134,6 +136,16 @@
         self.store_answer_bytes.add(bytes as u64, &labels);
     }
 
+    /// Counts a request that was running on a backend server of a service when the server crashed, and
+    /// whether its answer had begun.
+    pub fn count_crashed_run(&self, service: &str, has_begun: bool) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("answer_begun", has_begun),
+        ];
+        self.crashed_runs.add(1, &labels);
+    }
+
     /// Records the number of backend servers that name a limit.
     pub fn record_limited_servers(&self, count: usize) {
         self.limited_servers.record(count as u64, &[]);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -18,7 +18,7 @@
 use crate::exchange::{
     Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_SERVER_NOW, SendError, TIMED_OUT, log_send_failure,
 };
-use crate::suspects;
+use crate::suspects::{self, BrokenRun};
 
 /// Multiple of the latency target after which an idempotent request is also sent to a second
 /// server.
@@ -153,7 +153,12 @@
                 if error.may_have_run() {
                     self.possible_runs += 1;
                     self.req.may_have_run.set(true);
-                    suspects::check_for_crash(&self.cx, server, &self.req);
+                    let run = BrokenRun {
+                        server,
+                        cause: error,
+                        answer_began_at: None,
+                    };
+                    suspects::check_for_crash(&self.cx, run, &self.req);
                 }
                 self.last_error = Some(error);
                 None
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use crate::exchange::{SendError, log_send_failure};
 use crate::generation::{DecodeRun, Generation};
 use crate::stream_record::StreamRecord;
+use crate::suspects::{self, BrokenRun};
 
 /// Multiple of the latency target after which an engine without a first event counts as
 /// unresponsive.
@@ -34,6 +35,8 @@
     ready: Option<Bytes>,
     last_event: Option<u64>,
     has_event: bool,
+    /// When the first event of the present run arrived; `None` before that.
+    run_began_at: Option<Duration>,
     /// Upper bound of the output tokens received so far.
     output_tokens: u64,
     is_over: bool,
@@ -54,6 +57,7 @@
             ready: None,
             last_event: None,
             has_event: false,
+            run_began_at: None,
             output_tokens: 0,
             is_over: false,
         };
@@ -150,6 +154,10 @@
     fn push_bytes(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let events = self.events.push(bytes)?;
         self.record.record_events(events.len() as u64);
+        if !events.is_empty() {
+            let now = self.generation.cx().now();
+            self.run_began_at.get_or_insert(now);
+        }
         let mut complete = Vec::new();
         for event in events {
             self.has_event = true;
@@ -172,7 +180,12 @@
         if let Some(server) = self.decode.take().map(|d| d.exchange.server) {
             let generation = &mut self.generation;
             log_send_failure(generation.cx(), generation.req(), server, error);
-            crate::suspects::check_for_crash(generation.cx(), server, generation.req());
+            let run = BrokenRun {
+                server,
+                cause: error,
+                answer_began_at: self.run_began_at,
+            };
+            suspects::check_for_crash(generation.cx(), run, generation.req());
             generation.record_failure(server);
         }
         let cx = self.generation.cx().clone();
@@ -187,6 +200,7 @@
         };
         self.record_engine();
         self.events = EventSplitter::default();
+        self.run_began_at = None;
         let req = self.generation.req();
         let fields = [
             ("request", req.headers.request_id.as_str().into()),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod named_limit;
 mod over_limit;
 mod permit_ledger;
+mod prompt_part;
 mod quota;
 mod requested_pause;
 mod retry_budget;
@@ -33,6 +34,7 @@
 pub use named_limit::{LimitChange, LimitStatement, NamedLimit};
 pub use over_limit::OverLimit;
 pub use permit_ledger::{COUNTED_BEFORE_LIMIT, LIMIT_NOTICE, PermitCall, PermitLedger};
+pub use prompt_part::PromptPart;
 pub use quota::{QuotaDecision, QuotaLedger};
 pub use requested_pause::RequestedPause;
 pub use retry_budget::RetryBudget;
