--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -50,12 +51,13 @@
     }
 }
 
-/// A running proxy, whose threads run until the process exits.
+/// A running proxy, whose threads run until it is closed or the process exits.
 #[derive(Debug)]
 pub struct Proxy {
     /// Address at which the proxy accepts connections.
     pub address: SocketAddr,
     impairment: Arc<Mutex<Impairment>>,
+    is_closed: Arc<AtomicBool>,
 }
 
 impl Proxy {
@@ -68,10 +70,14 @@
         let proxy = Self {
             address: listener.local_addr()?,
             impairment: Arc::default(),
+            is_closed: Arc::default(),
         };
-        let impairment = proxy.impairment.clone();
+        let (impairment, is_closed) = (proxy.impairment.clone(), proxy.is_closed.clone());
         thread::spawn(move || {
             for accepted in listener.incoming().flatten() {
+                if is_closed.load(Ordering::Relaxed) {
+                    return;
+                }
                 let impairment = impairment.clone();
                 thread::spawn(move || forward(accepted, target, &impairment));
             }
@@ -83,6 +89,16 @@
     pub fn set_impairment(&self, impairment: Impairment) {
         *lock(&self.impairment) = impairment;
     }
+
+    /// Resets all connections and refuses new ones, as after a crash of the process at the address.
+    pub fn close(&self) {
+        self.set_impairment(Impairment::Reset);
+        self.is_closed.store(true, Ordering::Relaxed);
+        // The listener is dropped when the accepting thread wakes up.
+        while TcpStream::connect(self.address).is_ok() {
+            thread::yield_now();
+        }
+    }
 }
 
 fn forward(client: TcpStream, target: SocketAddr, impairment: &Arc<Mutex<Impairment>>) {
@@ -140,6 +156,10 @@
                 break;
             }
         };
+        // The impairment may have changed during the read.
+        if *lock(impairment) == Impairment::Reset {
+            continue;
+        }
         if let Impairment::Delay(delay) = current {
             thread::sleep(delay);
         }
