Quarantine parts of prompts that crash engines

The cause: crashes were counted by a fingerprint of the whole request, and no two of these requests are equal, so each had one crash and none was refused. The class is a count keyed by more than what causes the fault.

Crashes now count against the shared parts of the prompts that were about to be answered, over all instances; three in succession without an answer in between quarantine a part. What crashes have in common is judged by the smallest explanation, so sound requests with the same key, first part or subject go on. Evidence goes to peers at once and to the store, from which instances that start read it.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -227,6 +227,8 @@
     /// Duties that one instance has for the whole fleet, such as the planning of engine roles; each
     /// row names the instance that has the duty.
     Duties,
+    /// Parts of prompts that are quarantined since they crash engines.
+    Quarantine,
 }
 
 /// A row of a table.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -19,6 +19,7 @@
 use crate::caller_request::{CallerRequest, fingerprint, remove_connection_headers};
 use crate::charge::Charge;
 use crate::context::Context;
+use crate::quarantine;
 
 /// `Retry-After` of refusals that are due to a configuration that may be outdated, to a route
 /// without a service, or to a server that did not have capacity in time.
@@ -115,6 +116,7 @@
         let reason = "request crashed the servers that ran it";
         return Err(Verdict::reject(StatusCode::SERVICE_UNAVAILABLE, reason));
     }
+    quarantine::check(cx, &headers.shared_parts)?;
     let charge = charge(cx, &admission, summary)?;
     let settings = cx.settings();
     let mut state = cx.state.borrow_mut();
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -48,6 +48,8 @@
     pub store_restored: Notify,
     /// Notified when peers should learn at once of what a backend server has said in an answer.
     pub urgent_news: Notify,
+    /// Notified when the quarantined parts of prompts have changed.
+    pub quarantine_changed: Notify,
     /// Notified when a peer may have newer rows of the store's tables.
     pub peer_rows_changed: Notify,
     /// Notified once when callers' connections are to be closed after the current request.
@@ -90,6 +92,7 @@
             urgent_news: Notify::new(),
             store_era: Cell::new(None),
             store_restored: Notify::new(),
+            quarantine_changed: Notify::new(),
             peer_rows_changed: Notify::new(),
             close_connections: Notify::new(),
             stop_accepting: Notify::new(),
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -78,13 +78,17 @@
     OverLimit = 1511,
     /// A stream has ended; the fields show its outcome and its longest pause between events.
     StreamEnded = 1512,
+    /// Requests whose prompts have certain parts are refused: servers crashed under these parts.
+    PartsQuarantined = 1513,
+    /// Parts of prompts are no longer quarantined.
+    PartsReleased = 1514,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 38] = [
+    pub const ALL: [Self; 40] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -122,6 +126,8 @@
         Self::NoRoom,
         Self::OverLimit,
         Self::StreamEnded,
+        Self::PartsQuarantined,
+        Self::PartsReleased,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -20,6 +20,7 @@
     Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_SERVER_NOW, SendError, log_send_failure,
 };
 use crate::permits::{self, AT_LIMIT};
+use crate::quarantine;
 use crate::reservation::{KvCache, Reservation};
 use crate::stream::StreamForwarder;
 use crate::suspects::{self, BrokenRun};
@@ -108,6 +109,8 @@
     pub exchange: Exchange,
     /// Memory of the engine that is reserved for the decode.
     pub reservation: Reservation,
+    /// When the request was sent to the engine.
+    pub sent_at: Duration,
 }
 
 /// Runs a generation and returns its answer; the body of a successful one is streamed.
@@ -213,17 +216,20 @@
             if round > 0 && !self.try_spend_send() {
                 break;
             }
+            self.check_quarantine()?;
             let mut reservation = self.reserve().await?;
             self.req.confirm_charge()?;
             self.steps.reserved = self.cx.now();
             let kv = self.prefill(&reservation).await?;
             self.steps.prefilled = self.cx.now();
+            self.check_quarantine()?;
             let server = reservation.server;
             match self.send_decode(&mut reservation, kv, last_event).await {
                 Ok(exchange) => {
                     return Ok(DecodeRun {
                         exchange,
                         reservation,
+                        sent_at: self.steps.prefilled,
                     });
                 }
                 Err(error) => {
@@ -235,6 +241,16 @@
         Err(self.refusal("engines refused the request"))
     }
 
+    /// Refuses the request if a part of its prompt has been quarantined since it was admitted.
+    fn check_quarantine(&self) -> Result<(), Verdict> {
+        quarantine::check(&self.cx, &self.req.headers.shared_parts).map_err(|verdict| {
+            match self.req.may_have_run.get() {
+                true => Verdict::lost(verdict.reason()),
+                false => verdict,
+            }
+        })
+    }
+
     fn handle_decode_error(&mut self, server: ServerKey, error: SendError) -> Result<(), Verdict> {
         if error == KEY_REVOKED {
             return Err(self.refusal("key is no longer accepted"));
@@ -244,6 +260,7 @@
             let run = BrokenRun {
                 server,
                 cause: error,
+                sent_at: self.steps.prefilled,
                 answer_began_at: None,
             };
             suspects::check_for_crash(&self.cx, run, &self.req);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -13,7 +13,7 @@
 
 use crate::context::Context;
 use crate::{
-    Adapter, EventCode, Settings, Table, callers, directory, drain, peers, registry,
+    Adapter, EventCode, Settings, Table, callers, directory, drain, peers, quarantine, registry,
     role_coordinator, table_sync,
 };
 
@@ -67,6 +67,7 @@
         spawn_local(table_sync::run(cx.clone(), Table::Servers, "servers"));
         spawn_local(registry::run(cx.clone()));
         spawn_local(role_coordinator::run(cx.clone()));
+        spawn_local(quarantine::run(cx.clone()));
         spawn_local(sweep(cx.clone()));
         let (directory_at, readiness_at) = (listen.directory, listen.readiness);
         let endpoints = [
@@ -110,7 +111,11 @@
             .record_limited_servers(state.pool.limited_servers());
         drop(state);
         cx.connection_pool.evict_expired(now);
+        quarantine::remove_expired(&cx);
         let reachable_now = reachable_members(&cx);
+        if !reachable_now.is_subset(&reachable) {
+            cx.state.borrow_mut().suspect_parts.share_again(now);
+        }
         for name in reachable_now.difference(&reachable) {
             cx.log(EventCode::PeerRegained, [("peer", name.as_str().into())]);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod peers;
 mod permits;
 mod plain;
+mod quarantine;
 mod registry;
 mod reservation;
 mod role_coordinator;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     store_answer_bytes: Counter<u64>,
     limited_servers: Gauge<u64>,
     crashed_runs: Counter<u64>,
+    quarantined_parts: Gauge<u64>,
 }
 
 impl Metrics {
@@ -67,6 +68,7 @@
             store_answer_bytes: meter.u64_counter("jacinthlever_store_answer_bytes").build(),
             limited_servers: meter.u64_gauge("jacinthlever_limited_servers").build(),
             crashed_runs: meter.u64_counter("jacinthlever_crashed_runs").build(),
+            quarantined_parts: meter.u64_gauge("jacinthlever_quarantined_parts").build(),
             registry,
             _provider: provider,
         })
@@ -146,6 +148,11 @@
         self.crashed_runs.add(1, &labels);
     }
 
+    /// Records the number of sets of prompt parts that are quarantined.
+    pub fn record_quarantined_parts(&self, count: usize) {
+        self.quarantined_parts.record(count as u64, &[]);
+    }
+
     /// Records the number of backend servers that name a limit.
     pub fn record_limited_servers(&self, count: usize) {
         self.limited_servers.record(count as u64, &[]);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::departures::{self, Departure};
 use crate::freshness::{Freshness, TableChange};
 use crate::permits::{self, PermitAnswer, PermitMessage};
+use crate::quarantine::{self, SharedPart};
 use crate::registry::own_member;
 use crate::server_limits::{self, SharedLimit};
 use crate::table_updates::apply_peer_changes;
@@ -96,6 +97,9 @@
     /// Backend servers that have said that they leave.
     #[serde(default)]
     departures: Vec<Departure>,
+    /// What this instance has lately learned of parts of prompts that crash backend servers.
+    #[serde(default)]
+    suspect_parts: Vec<SharedPart>,
 }
 
 /// Summary of a zone that its delegate sends to other zones.
@@ -118,6 +122,9 @@
     /// Backend servers that have said that they leave.
     #[serde(default)]
     departures: Vec<Departure>,
+    /// What the delegate has lately learned of parts of prompts that crash backend servers.
+    #[serde(default)]
+    suspect_parts: Vec<SharedPart>,
 }
 
 /// Digests that this instance has received from other zones and forwards within its own.
@@ -245,6 +252,7 @@
         digests,
         limits: server_limits::recent(&state, now),
         departures: departures::current(&state),
+        suspect_parts: quarantine::recent(&state, now),
     }
 }
 
@@ -270,6 +278,7 @@
         suspects: suspects(&state.suspect_requests),
         limits: server_limits::recent(&state, now),
         departures: departures::current(&state),
+        suspect_parts: quarantine::recent(&state, now),
     }
 }
 
@@ -350,6 +359,7 @@
     cx.peer_rows_changed.notify_waiters();
     server_limits::merge(cx, &report.limits);
     departures::merge(cx, &report.departures);
+    quarantine::merge(cx, &report.suspect_parts);
     for digest in &report.digests {
         apply_digest(cx, digest);
     }
@@ -381,6 +391,7 @@
     drop(state);
     server_limits::merge(cx, &digest.limits);
     departures::merge(cx, &digest.departures);
+    quarantine::merge(cx, &digest.suspect_parts);
 }
 
 impl crate::state::State {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -156,6 +156,7 @@
                     let run = BrokenRun {
                         server,
                         cause: error,
+                        sent_at: self.req.arrived,
                         answer_began_at: None,
                     };
                     suspects::check_for_crash(&self.cx, run, &self.req);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use jacinthlever_routing::{
-    FleetConfig, Membership, QuotaLedger, RetryBudget, ServerKey, ServerPool, SuspectRequests,
+    FleetConfig, Membership, QuotaLedger, RetryBudget, ServerKey, ServerPool, SuspectParts,
+    SuspectRequests,
 };
 use smol_str::SmolStr;
 
@@ -42,6 +43,8 @@
     pub members: Membership,
     /// Requests that ran on backend servers that crashed.
     pub suspect_requests: SuspectRequests,
+    /// Parts of prompts that were being answered on backend servers that crashed.
+    pub suspect_parts: SuspectParts,
     /// Retry budgets by service.
     pub retry_budgets: BTreeMap<SmolStr, RetryBudget>,
     /// This instance's share of the retries that each service allows in addition to the ratio.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,8 +11,9 @@
 use crate::answer::{ChunkStream, IncompleteBody, Verdict};
 use crate::exchange::{SendError, log_send_failure};
 use crate::generation::{DecodeRun, Generation};
+use crate::quarantine;
 use crate::stream_record::StreamRecord;
-use crate::suspects::{self, BrokenRun};
+use crate::suspects::{self, BrokenRun, PROVING_TIME};
 
 /// Multiple of the latency target after which an engine without a first event counts as
 /// unresponsive.
@@ -25,6 +26,9 @@
 /// Shortest time without an event after which an engine counts as unresponsive.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The engine sent no event for too long.
+pub const SILENT_ENGINE: SendError = SendError::Lost("engine is silent");
+
 /// Forwarding task of one stream to a caller.
 pub struct StreamForwarder {
     generation: Generation,
@@ -37,6 +41,8 @@
     has_event: bool,
     /// When the first event of the present run arrived; `None` before that.
     run_began_at: Option<Duration>,
+    /// Whether the answer has shown that its prompt does not crash engines.
+    is_proven: bool,
     /// Upper bound of the output tokens received so far.
     output_tokens: u64,
     is_over: bool,
@@ -58,6 +64,7 @@
             last_event: None,
             has_event: false,
             run_began_at: None,
+            is_proven: false,
             output_tokens: 0,
             is_over: false,
         };
@@ -104,6 +111,7 @@
                 },
                 Ok(None) if self.events.has_partial() => SendError::Lost("event ended early"),
                 Ok(None) => {
+                    self.record_proof();
                     self.record.set_outcome("whole");
                     return None;
                 }
@@ -135,7 +143,7 @@
             Err(_) => {
                 let cx = self.generation.cx();
                 cx.record_outcome(decode.exchange.server, CallOutcome::Unresponsive);
-                Err(SendError::Lost("engine is silent"))
+                Err(SILENT_ENGINE)
             }
         }
     }
@@ -156,7 +164,10 @@
         self.record.record_events(events.len() as u64);
         if !events.is_empty() {
             let now = self.generation.cx().now();
-            self.run_began_at.get_or_insert(now);
+            let began_at = *self.run_began_at.get_or_insert(now);
+            if now >= began_at + PROVING_TIME {
+                self.record_proof();
+            }
         }
         let mut complete = Vec::new();
         for event in events {
@@ -172,17 +183,29 @@
         Some(complete.into())
     }
 
+    /// Records, once, that the prompt does not crash engines.
+    fn record_proof(&mut self) {
+        if self.run_began_at.is_some() && !std::mem::replace(&mut self.is_proven, true) {
+            let generation = &self.generation;
+            let parts = &generation.req().headers.shared_parts;
+            quarantine::record_answer(generation.cx(), parts);
+        }
+    }
+
     /// Resumes the stream at another engine after a failure, if the route and the retry budget
     /// allow it.
     async fn resume(&mut self, error: SendError) -> Result<(), IncompleteBody> {
         let broken = IncompleteBody(error.reason().into());
         // The failed run must not continue in parallel with the next one, so it is dropped here.
-        if let Some(server) = self.decode.take().map(|d| d.exchange.server) {
+        if let Some(decode) = self.decode.take() {
+            let (server, sent_at) = (decode.exchange.server, decode.sent_at);
+            drop(decode);
             let generation = &mut self.generation;
             log_send_failure(generation.cx(), generation.req(), server, error);
             let run = BrokenRun {
                 server,
                 cause: error,
+                sent_at,
                 answer_began_at: self.run_began_at,
             };
             suspects::check_for_crash(generation.cx(), run, generation.req());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod server;
 mod server_pool;
 mod stale_rows;
+mod suspect_parts;
 mod suspect_requests;
 
 pub use capacity_policy::CapacityPolicy;
@@ -42,4 +43,5 @@
 pub use server::{CallOutcome, EngineRole, Server, ServerEntry, ServerKey, ServerState};
 pub use server_pool::{PickParams, ServerPool};
 pub use stale_rows::StaleRows;
+pub use suspect_parts::{Crash, CrashId, PartEvidence, QuarantinedParts, SuspectParts};
 pub use suspect_requests::{Fingerprint, SuspectRequests};
