Time limits for answers of backend servers that have no end

Bytes that are no answer may come without end, in a head or a body. The cause: time limits that covered the head only, or that each piece of an event started again.

The limit of a send now covers an answer that is read as a whole, a refusal's body has 100 ms, the wait for an event is counted to its end, and the head of a decode has two latency targets if another engine is left. A stream whose lines are no fields is broken off, so bytes with blank lines are not forwarded.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -38,6 +38,9 @@
 /// Time limit for the answer to a control call, which carries no caller's request.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time limit for the body of a refusal, which serves only to reuse the connection.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Why a send to a backend server produced no usable answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendError {
@@ -97,6 +100,8 @@
     pub headers: HeaderMap,
     /// Server that answered.
     pub server: ServerKey,
+    /// Time by which an answer that is read as a whole must be complete.
+    deadline: Duration,
     body: Incoming,
     sender: Option<SendRequest<RequestBody>>,
     idle_timeout: Option<Duration>,
@@ -213,6 +218,7 @@
             idle_timeout: idle_timeout(&parts.headers),
             headers: forwardable_headers(parts.headers),
             server,
+            deadline: started + within,
             body,
             sender: (call.body.len() < LARGE_BODY_BYTES).then_some(sender),
             in_flight,
@@ -222,7 +228,7 @@
 
     /// Checks that the answer belongs to this request, and records the outcome for the server.
     async fn check_answer(
-        self,
+        mut self,
         cx: &Rc<Context>,
         head: &AnswerHead,
         caller_send: Option<&CallerSend<'_>>,
@@ -253,6 +259,7 @@
         if head.is_not_run {
             cx.record_outcome(server, CallOutcome::NoCapacity);
             // The body is read so that the connection can be reused.
+            self.deadline = self.deadline.min(now + REFUSAL_BODY_TIMEOUT);
             drop(self.read_body(MAX_ANSWER_BYTES).await);
             return Err(SendError::NotRun("server has no room"));
         }
@@ -280,18 +287,20 @@
         Ok(self)
     }
 
-    /// Reads the entire body.
+    /// Reads the entire body, within the time limit for the answer.
     ///
     /// # Errors
-    /// Fails if the body ends early or is longer than `max_bytes`.
+    /// Fails if the body ends early, is longer than `max_bytes` or takes too long.
     pub async fn read_body(mut self, max_bytes: usize) -> Result<Bytes, SendError> {
-        let body = Limited::new(&mut self.body, max_bytes).collect().await;
-        match body {
-            Ok(body) => {
+        let left = self.deadline.saturating_sub(self.in_flight.cx.now());
+        let body = Limited::new(&mut self.body, max_bytes).collect();
+        match timeout(left, body).await {
+            Ok(Ok(body)) => {
                 self.keep_connection();
                 Ok(body.to_bytes())
             }
-            Err(_) => {
+            Err(_) => Err(TIMED_OUT),
+            Ok(Err(_)) => {
                 self.in_flight
                     .cx
                     .record_outcome(self.server, CallOutcome::Broken);
@@ -356,7 +365,13 @@
     let Some(caller_send) = caller_send.filter(|c| !c.is_prefill) else {
         return Duration::ZERO;
     };
-    let limit = caller_send.req.route.target_latency * UNRESPONSIVE_AFTER_TARGETS;
+    head_timeout(caller_send.req)
+}
+
+/// Returns the time without the head of an answer after which a request that may be repeated is sent
+/// to another server.
+pub fn head_timeout(req: &CallerRequest) -> Duration {
+    let limit = req.route.target_latency * UNRESPONSIVE_AFTER_TARGETS;
     limit.max(MIN_UNRESPONSIVE)
 }
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -17,7 +17,8 @@
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::exchange::{
-    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_SERVER_NOW, SendError, log_send_failure,
+    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_SERVER_NOW, SendError, head_timeout,
+    log_send_failure,
 };
 use crate::permits::{self, AT_LIMIT};
 use crate::quarantine;
@@ -203,7 +204,21 @@
 
     /// Whether the request may be sent to another server although one may have run it.
     pub fn may_retry(&self) -> bool {
-        self.req.route.is_resumable && self.possible_runs < self.req.route.max_attempts.max(1)
+        self.may_run_again(self.possible_runs)
+    }
+
+    /// Whether the request may be sent to another engine, and there is one, if a run at an engine
+    /// fails.
+    fn may_retry_elsewhere(&self, server: ServerKey) -> bool {
+        let state = self.cx.state.borrow();
+        let is_other = |key: ServerKey| key != server && !self.avoid.contains(&key);
+        let mut engines = state.pool.available(&self.req.service);
+        self.may_run_again(self.possible_runs + 1)
+            && engines.any(|(key, s)| s.entry.role == Some(EngineRole::Decode) && is_other(key))
+    }
+
+    fn may_run_again(&self, possible_runs: u32) -> bool {
+        self.req.route.is_resumable && possible_runs < self.req.route.max_attempts.max(1)
     }
 
     /// Runs the request until a decode engine has accepted it. The events continue after
@@ -581,7 +596,11 @@
         if kv.is_none() {
             reservation.start_local_prefill();
         }
-        let within = self.req.time_left(self.cx.now());
+        let left = self.req.time_left(self.cx.now());
+        let within = match self.may_retry_elsewhere(reservation.server) {
+            true => left.min(head_timeout(&self.req)),
+            false => left,
+        };
         let before = self.req.may_have_run.replace(true);
         let sent = Exchange::send(&self.cx, reservation.server, &self.req, extra, within).await;
         match &sent {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -41,6 +41,8 @@
     has_event: bool,
     /// When the first event of the present run arrived; `None` before that.
     run_began_at: Option<Duration>,
+    /// Since when the forwarder has waited for the next complete event of the present run.
+    waiting_since: Duration,
     /// Whether the answer has shown that its prompt does not crash engines.
     is_proven: bool,
     /// Upper bound of the output tokens received so far.
@@ -57,6 +59,7 @@
     pub async fn start(generation: Generation, decode: DecodeRun) -> Result<Self, Verdict> {
         let mut forwarder = Self {
             record: StreamRecord::start(generation.cx(), generation.req()),
+            waiting_since: generation.cx().now(),
             generation,
             decode: Some(decode),
             events: EventSplitter::default(),
@@ -102,12 +105,13 @@
         if self.is_over {
             return None;
         }
+        self.waiting_since = self.generation.cx().now();
         loop {
             let error = match self.receive_chunk().await {
                 Ok(Some(bytes)) => match self.push_bytes(&bytes) {
                     Some(events) if events.is_empty() => continue,
                     Some(events) => return Some(Ok(events)),
-                    None => SendError::Lost("event is too long"),
+                    None => SendError::Lost("malformed event"),
                 },
                 Ok(None) if self.events.has_partial() => SendError::Lost("event ended early"),
                 Ok(None) => {
@@ -125,12 +129,13 @@
     }
 
     async fn receive_chunk(&mut self) -> Result<Option<Bytes>, SendError> {
-        let left = {
-            let generation = &self.generation;
-            generation.req().time_left(generation.cx().now())
-        };
-        let limit = if self.generation.may_retry() {
-            self.event_timeout().min(left)
+        let generation = &self.generation;
+        let now = generation.cx().now();
+        let left = generation.req().time_left(now);
+        let limit = if generation.may_retry() {
+            // Bytes that complete no event are no progress.
+            let until = self.waiting_since + self.event_timeout();
+            until.saturating_sub(now).min(left)
         } else {
             left
         };
@@ -158,7 +163,7 @@
         limit.max(MIN_EVENT_TIMEOUT)
     }
 
-    /// Extracts the complete events from received bytes; `None` if an event is too long.
+    /// Extracts the complete events from received bytes; `None` if they are no events.
     fn push_bytes(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let events = self.events.push(bytes)?;
         self.record.record_events(events.len() as u64);
@@ -224,6 +229,7 @@
         self.record_engine();
         self.events = EventSplitter::default();
         self.run_began_at = None;
+        self.waiting_since = cx.now();
         let req = self.generation.req();
         let fields = [
             ("request", req.headers.request_id.as_str().into()),
--- a/crates/routing/src/event_stream.rs
+++ b/crates/routing/src/event_stream.rs
@@ -21,8 +21,8 @@
 }
 
 impl EventSplitter {
-    /// Appends a chunk and returns the events that it completes, or `None` if the incomplete event
-    /// exceeds the maximum size.
+    /// Appends a chunk and returns the events that it completes, or `None` if one of them has a line
+    /// that is no field, or the incomplete one exceeds the maximum size.
     pub fn push(&mut self, chunk: &[u8]) -> Option<Vec<StreamEvent>> {
         // The line ends that complete an event may be split over two chunks.
         let mut scanned = self.partial.len().saturating_sub(3);
@@ -31,6 +31,9 @@
         while let Some(end) = end_of_event(&self.partial, scanned) {
             let rest = self.partial.split_off(end);
             let bytes = mem::replace(&mut self.partial, rest);
+            if !is_event(&bytes) {
+                return None;
+            }
             let id = id_of(&bytes);
             events.push(StreamEvent { bytes, id });
             scanned = 0;
@@ -57,6 +60,14 @@
         .find_map(|at| after_line(at + 1))
 }
 
+/// Whether all lines are fields or comments. A field without a value may stand without a colon.
+fn is_event(bytes: &[u8]) -> bool {
+    let is_field = |line: &str| {
+        line.is_empty() || line.contains(':') || ["data", "event", "id", "retry"].contains(&line)
+    };
+    std::str::from_utf8(bytes).is_ok_and(|text| text.lines().all(is_field))
+}
+
 fn id_of(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/crates/routing/tests/streams.rs
+++ b/crates/routing/tests/streams.rs
@@ -36,6 +36,15 @@
     assert!(splitter.push(&chunk).is_none());
 }
 
+// Guards against bytes with blank lines that are forwarded as events.
+#[test]
+fn a_line_that_is_no_field_is_refused() {
+    let push = |bytes: &[u8]| EventSplitter::default().push(bytes).is_some();
+    assert!(push(b": comment\nid: 1\nweight-versions:7\ndata\n\n"));
+    assert!(!push(b"junk\n\n"));
+    assert!(!push(b"id: 1\n\xff: x\n\n"));
+}
+
 #[test]
 fn a_request_that_crashed_two_servers_is_quarantined_for_a_time() {
     let mut suspects = SuspectRequests::default();
