--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -118,6 +118,9 @@
     pub shared_parts: Vec<PromptPart>,
     /// Number of the last event that the caller has received of this stream, if it resumes one.
     pub last_event: Option<u64>,
+    /// Identifier of the attempt that brought the first event of this stream, if the caller resumes
+    /// one.
+    pub resumes: Option<SmolStr>,
 }
 
 /// Size of a generation.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -507,7 +507,9 @@
         [
             ("request", req.headers.request_id.as_str().into()),
             ("server", picked.entry.id.as_str().into()),
+            ("version", picked.entry.version.as_str().into()),
             ("work", work.into()),
+            ("resumes", req.headers.resumes.as_deref().into()),
             ("load", picked.load(now).into()),
             ("reserved_tokens", picked.reserved_tokens(now).into()),
             (
--- a/crates/gateway/src/table_updates.rs
+++ b/crates/gateway/src/table_updates.rs
@@ -116,6 +116,7 @@
         [
             ("server", entry.id.as_str().into()),
             ("service", entry.service.as_str().into()),
+            ("version", entry.version.as_str().into()),
             ("draining", is_draining.into()),
             ("stage", format!("{:?}", entry.role).into()),
             ("row", row.version.into()),
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -45,6 +45,8 @@
     pub address: SmolStr,
     /// Availability zone.
     pub zone: SmolStr,
+    /// Version of the server's software; empty if it is not registered.
+    pub version: SmolStr,
     /// Requests that the server runs concurrently.
     pub slots: u32,
     /// Whether the server accepts new work.
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -18,6 +18,7 @@
         service: SmolStr::new("service"),
         address: SmolStr::new("127.0.0.1:1"),
         zone: SmolStr::new(zone),
+        version: "v1".into(),
         slots: 6,
         state: ServerState::Ready,
         role,
