Streams go on only at the software version that began them

The cause: the version in the registrations was not read, neither when an instance resumed a broken stream nor when a caller took one up at another instance; for the second no instance could have known it. The class: a choice made anew, at another place, without the state that the first choice has fixed.

The first event pins a stream to the version of its engine. An instance resumes it there only, and breaks it off at once if only other versions are left. Each instance records the version at three keepers in three zones, chosen by rendezvous hashing of the attempt that callers name, and asks six of them for a stream that it does not know. A stream that nobody knows goes on only where one version serves.

Four end-to-end tests failed before and pass: resumption inside the response with and without an engine of the version, twelve streams taken up at other instances after theirs was killed, a stream of unknown origin.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -13,11 +13,12 @@
 use crate::peers::ReceivedDigests;
 use crate::permits::Permits;
 use crate::state::State;
+use crate::stream_origins::OriginCalls;
 use crate::{Adapter, Clock, EventCode, EventLog, Settings, metrics::Metrics};
 
-/// Number of low bits that number the permit calls of one process. The bits above hold its start time,
+/// Number of low bits that number the calls of one process to other instances. The bits above hold its start time,
 /// so the numbers of two processes at the same address differ.
-const PERMIT_NUMBER_BITS: u32 = 20;
+const CALL_NUMBER_BITS: u32 = 20;
 
 /// Shared context of a running instance. All its tasks run on one thread; only the event log has a
 /// thread of its own.
@@ -42,6 +43,8 @@
     pub received_digests: RefCell<ReceivedDigests>,
     /// Permits for requests to backend servers that name a limit.
     pub permits: Permits,
+    /// Calls for the versions that began streams.
+    pub origin_calls: OriginCalls,
     /// Highest era that the store has named; `None` before its first answer.
     pub store_era: Cell<Option<u64>>,
     /// Notified when the store has come back from a copy.
@@ -88,7 +91,8 @@
             event_log: EventLog::spawn(clock)?,
             metrics: Metrics::open()?,
             received_digests: RefCell::default(),
-            permits: Permits::new(incarnation << PERMIT_NUMBER_BITS),
+            permits: Permits::new(incarnation << CALL_NUMBER_BITS),
+            origin_calls: OriginCalls::new(incarnation << CALL_NUMBER_BITS),
             urgent_news: Notify::new(),
             store_era: Cell::new(None),
             store_restored: Notify::new(),
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -82,13 +82,15 @@
     PartsQuarantined = 1513,
     /// Parts of prompts are no longer quarantined.
     PartsReleased = 1514,
+    /// A caller takes up a stream that is not known here; other instances were asked for its version.
+    OriginAsked = 1515,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 40] = [
+    pub const ALL: [Self; 41] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -128,6 +130,7 @@
         Self::StreamEnded,
         Self::PartsQuarantined,
         Self::PartsReleased,
+        Self::OriginAsked,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -11,6 +11,7 @@
 use jacinthlever_routing::{
     CallOutcome, CapacityPolicy, EngineRole, EngineSpec, PickParams, ServerKey,
 };
+use smol_str::SmolStr;
 use tokio::time::sleep;
 
 use crate::answer::{AnswerBody, Verdict};
@@ -24,6 +25,7 @@
 use crate::quarantine;
 use crate::reservation::{KvCache, Reservation};
 use crate::stream::StreamForwarder;
+use crate::stream_origins;
 use crate::suspects::{self, BrokenRun};
 use crate::{EventCode, ServerHeaders};
 
@@ -75,6 +77,9 @@
     spec: EngineSpec,
     /// When the search for engines began: the time of arrival, or of the last failure of an engine.
     since: Duration,
+    /// Version of the engine that began the stream; only engines of that version may continue it.
+    /// `None` before the first event.
+    version: Option<SmolStr>,
     /// Servers that failed this request; they are not used for it again.
     avoid: Vec<ServerKey>,
     /// Number of servers that may have run the request.
@@ -112,6 +117,8 @@
     pub reservation: Reservation,
     /// When the request was sent to the engine.
     pub sent_at: Duration,
+    /// Version of the engine's software.
+    pub version: SmolStr,
 }
 
 /// Runs a generation and returns its answer; the body of a successful one is streamed.
@@ -129,11 +136,15 @@
         cx,
         req,
         spec,
+        version: None,
         avoid: Vec::new(),
         possible_runs: 0,
         sends: 0,
         steps: StepTimes::default(),
     };
+    if generation.is_taken_up() {
+        generation.version = Some(generation.find_version().await?);
+    }
     let decode = generation.start_decode(None).await?;
     let (status, headers) = (decode.exchange.status, decode.exchange.headers.clone());
     let body = if status.is_success() {
@@ -194,6 +205,36 @@
         );
     }
 
+    /// Whether the caller takes up a stream that an earlier attempt began.
+    fn is_taken_up(&self) -> bool {
+        let headers = &self.req.headers;
+        headers.resumes.is_some() || headers.last_event.is_some()
+    }
+
+    /// Returns the version that began a stream which the caller takes up. If nothing is known of the
+    /// stream, it is the version of all engines.
+    async fn find_version(&self) -> Result<SmolStr, Verdict> {
+        if let Some(attempt) = &self.req.headers.resumes
+            && let Some(version) = stream_origins::find(&self.cx, attempt).await
+        {
+            return Ok(version);
+        }
+        let state = self.cx.state.borrow();
+        let mut versions = state.pool.versions(&self.req.service).into_iter();
+        match (versions.next(), versions.next()) {
+            (Some(only), None) => Ok(only.clone()),
+            _ => Err(self.refusal("version that began the stream is not known")),
+        }
+    }
+
+    /// Records that the first event of the stream came from an engine of a version.
+    pub fn record_first_event(&mut self, version: &SmolStr) {
+        self.version.get_or_insert_with(|| version.clone());
+        let headers = &self.req.headers;
+        let attempt = headers.resumes.as_ref().unwrap_or(&headers.request_id);
+        stream_origins::record(&self.cx, attempt, version);
+    }
+
     /// Records that a server failed the request and may have run it.
     pub fn record_failure(&mut self, server: ServerKey) {
         self.since = self.cx.now();
@@ -210,11 +251,10 @@
     /// Whether the request may be sent to another engine, and there is one, if a run at an engine
     /// fails.
     fn may_retry_elsewhere(&self, server: ServerKey) -> bool {
+        let avoid: Vec<_> = self.avoid.iter().copied().chain([server]).collect();
+        let pick = self.pick_params("", &avoid);
         let state = self.cx.state.borrow();
-        let is_other = |key: ServerKey| key != server && !self.avoid.contains(&key);
-        let mut engines = state.pool.available(&self.req.service);
-        self.may_run_again(self.possible_runs + 1)
-            && engines.any(|(key, s)| s.entry.role == Some(EngineRole::Decode) && is_other(key))
+        self.may_run_again(self.possible_runs + 1) && state.pool.has_decode_engine(&pick)
     }
 
     fn may_run_again(&self, possible_runs: u32) -> bool {
@@ -239,12 +279,14 @@
             self.steps.prefilled = self.cx.now();
             self.check_quarantine()?;
             let server = reservation.server;
+            let version = reservation.version();
             match self.send_decode(&mut reservation, kv, last_event).await {
                 Ok(exchange) => {
                     return Ok(DecodeRun {
                         exchange,
                         reservation,
                         sent_at: self.steps.prefilled,
+                        version,
                     });
                 }
                 Err(error) => {
@@ -319,6 +361,9 @@
         let left = self.req.time_left(self.cx.now());
         let until = self.policy().wait_deadline(self.since, left);
         let cx = self.cx.clone();
+        if self.has_only_other_versions() {
+            return Err(self.refusal("no engine has the version that began the stream"));
+        }
         let waiter = cx.capacity_queue.enqueue(self.req.priority, until);
         loop {
             if waiter.is_turn()
@@ -384,6 +429,17 @@
         engines.any(|(_, s)| s.entry.role == Some(EngineRole::Prefill))
     }
 
+    /// Whether there are decode engines, but none that may continue the stream.
+    fn has_only_other_versions(&self) -> bool {
+        let pick = self.pick_params("", &self.avoid);
+        let any = PickParams {
+            version: None,
+            ..pick
+        };
+        let state = self.cx.state.borrow();
+        !state.pool.has_decode_engine(&pick) && state.pool.has_decode_engine(&any)
+    }
+
     fn decode_candidates(&self, tokens: u64) -> Vec<ServerKey> {
         let zone = self.cx.settings().zone.clone();
         let pick = self.pick_params(&zone, &self.avoid);
@@ -505,6 +561,7 @@
             service: &self.req.service,
             zone,
             avoid,
+            version: self.version.as_deref(),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod store;
 mod store_version;
 mod stream;
+mod stream_origins;
 mod stream_record;
 mod suspects;
 mod table_sync;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,6 +25,7 @@
 use crate::quarantine::{self, SharedPart};
 use crate::registry::own_member;
 use crate::server_limits::{self, SharedLimit};
+use crate::stream_origins::{self, OriginAnswer, OriginCall, StreamBegan};
 use crate::table_updates::apply_peer_changes;
 
 /// Pause after a failed receive.
@@ -66,6 +67,12 @@
     PermitCall(PermitMessage),
     /// The answer to a call for permits.
     PermitAnswer(PermitAnswer),
+    /// From an instance at which a stream began to those that keep its version.
+    StreamBegan(StreamBegan),
+    /// A call for the version that began a stream.
+    OriginCall(OriginCall),
+    /// The answer to a call for the version that began a stream.
+    OriginAnswer(OriginAnswer),
 }
 
 /// Status that an instance sends to the others of its zone.
@@ -316,6 +323,9 @@
         }
         Message::PermitCall(call) => permits::handle_call(cx, call, from),
         Message::PermitAnswer(answer) => cx.permits.handle_answer(answer),
+        Message::StreamBegan(began) => stream_origins::handle_began(cx, began),
+        Message::OriginCall(call) => stream_origins::handle_call(cx, call, from),
+        Message::OriginAnswer(answer) => stream_origins::handle_answer(cx, answer),
     }
 }
 
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -92,13 +92,14 @@
         }
     }
 
-    fn send(&self, message: Message, to: SocketAddr) {
+    /// Sends a message to another instance, without waiting.
+    pub fn send(&self, message: Message, to: SocketAddr) {
         let (Some(socket), Some(bytes)) = (self.socket.get(), encode(message)) else {
             return;
         };
         // A lost datagram is a call without an answer.
         if let Err(error) = socket.try_send_to(&bytes, to) {
-            log::debug!("cannot send a message about permits to {to}: {error}");
+            log::debug!("cannot send a message to {to}: {error}");
         }
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -117,6 +117,7 @@
             service: &self.req.service,
             zone: &settings.zone,
             avoid: &self.tried,
+            version: None,
         });
         let Some(server) = picked else { return false };
         let is_retry = self.sent + self.attempts.len() > 0;
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -22,6 +22,10 @@
 /// a copy, so that instances do not all write at once.
 const REWRITE_SPREAD: Duration = Duration::from_millis(1000);
 
+/// Time after the first read of the registrations until the second one, which has the instances that
+/// started together with this one.
+const SECOND_READ_DELAY: Duration = Duration::from_secs(3);
+
 /// Width of the random spread of renewals, as a fraction of the interval.
 const RENEW_JITTER: f64 = 0.2;
 
@@ -42,6 +46,14 @@
             zone: member.zone,
         }
     }
+
+    fn into_member(self) -> Member {
+        Member {
+            caller_address: self.callers,
+            peer_address: self.peers,
+            zone: self.zone,
+        }
+    }
 }
 
 /// Returns the addresses and the zone under which this instance is registered.
@@ -61,6 +73,8 @@
     join(cx.clone()).await;
     let mut client = StoreClient::new(cx.clone(), "renew");
     let mut stale = StaleRows::default();
+    sleep(SECOND_READ_DELAY).await;
+    read_registered(&cx, &mut client).await;
     loop {
         let spread = 1.0 + RENEW_JITTER * (cx.random() - 0.5);
         tokio::select! {
@@ -70,6 +84,7 @@
             }
         }
         register(cx.clone()).await;
+        read_registered(&cx, &mut client).await;
         let is_remover = cx.state.borrow().members.is_fleet_delegate(cx.now());
         if is_remover {
             // Rows that could not be removed are found again at the next read.
@@ -82,6 +97,26 @@
     }
 }
 
+/// Reads which instances are registered. If that fails, the last ones stand until the next read.
+async fn read_registered(cx: &Context, client: &mut StoreClient) {
+    match client.read(Table::Instances).await {
+        Ok(rows) => set_registered(cx, &rows.rows),
+        Err(error) => log::debug!("registrations not read, next try after a renewal: {error}"),
+    }
+}
+
+/// Sets the registrations from which the keepers of records are chosen.
+fn set_registered(cx: &Context, rows: &[Row]) {
+    let registered = rows.iter().filter_map(|row| {
+        let value = row.value.as_ref()?;
+        // Rows that cannot be decoded are logged when the instance starts.
+        let registration: Registration = serde_json::from_slice(value).ok()?;
+        Some((row.key.clone(), registration.into_member()))
+    });
+    let mut state = cx.state.borrow_mut();
+    state.members.set_registered(registered.collect());
+}
+
 async fn remove_stale(
     cx: &Context,
     client: &mut StoreClient,
@@ -118,7 +153,7 @@
                 for row in &rows.rows {
                     apply_instance(&cx, row);
                 }
-                return;
+                return set_registered(&cx, &rows.rows);
             }
             Err(_) => sleep(backoff.next_delay(cx.random())).await,
         }
@@ -154,11 +189,7 @@
     };
     match serde_json::from_slice::<Registration>(value) {
         Ok(registration) => {
-            let member = Member {
-                caller_address: registration.callers,
-                peer_address: registration.peers,
-                zone: registration.zone,
-            };
+            let member = registration.into_member();
             state.members.register(cx.now(), row.key.clone(), member);
         }
         Err(error) => {
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -108,6 +108,13 @@
         }
     }
 
+    /// Returns the software version of the engine; empty if the engine is no longer registered.
+    pub fn version(&self) -> SmolStr {
+        let state = self.cx.state.borrow();
+        let server = state.pool.get(self.server);
+        server.map_or_else(SmolStr::default, |s| s.entry.version.clone())
+    }
+
     /// Returns the availability zone of the engine; empty if the engine is no longer registered.
     pub fn zone(&self) -> SmolStr {
         let state = self.cx.state.borrow();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use jacinthlever_routing::{
-    FleetConfig, Membership, QuotaLedger, RetryBudget, ServerKey, ServerPool, SuspectParts,
-    SuspectRequests,
+    FleetConfig, Membership, QuotaLedger, RetryBudget, ServerKey, ServerPool, StreamOrigins,
+    SuspectParts, SuspectRequests,
 };
 use smol_str::SmolStr;
 
@@ -45,6 +45,8 @@
     pub suspect_requests: SuspectRequests,
     /// Parts of prompts that were being answered on backend servers that crashed.
     pub suspect_parts: SuspectParts,
+    /// Software versions that began streams.
+    pub stream_origins: StreamOrigins,
     /// Retry budgets by service.
     pub retry_budgets: BTreeMap<SmolStr, RetryBudget>,
     /// This instance's share of the retries that each service allows in addition to the ratio.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use futures_util::stream;
 use jacinthlever_routing::{CallOutcome, EventSplitter};
-use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use crate::EventCode;
@@ -175,6 +174,12 @@
                 self.record_proof();
             }
         }
+        if !self.has_event
+            && !events.is_empty()
+            && let Some(decode) = &self.decode
+        {
+            self.generation.record_first_event(&decode.version);
+        }
         let mut complete = Vec::new();
         for event in events {
             self.has_event = true;
@@ -236,20 +241,15 @@
             ("request", req.headers.request_id.as_str().into()),
             ("after_event", self.last_event.into()),
             ("cause", error.reason().into()),
-            ("version", self.run_version().as_str().into()),
+            (
+                "version",
+                self.decode.as_ref().map(|d| d.version.as_str()).into(),
+            ),
         ];
         cx.log(EventCode::Resumed, fields);
         Ok(())
     }
 
-    /// Returns the software version of the engine of the present run; empty if there is none.
-    fn run_version(&self) -> SmolStr {
-        let state = self.generation.cx().state.borrow();
-        let engine = self.decode.as_ref().map(|d| d.exchange.server);
-        let engine = engine.and_then(|server| state.pool.get(server));
-        engine.map_or_else(SmolStr::default, |s| s.entry.version.clone())
-    }
-
     fn record_engine(&mut self) {
         if let Some(decode) = &self.decode {
             self.record.set_server(decode.exchange.server);
--- /dev/null
+++ b/crates/gateway/src/stream_origins.rs
@@ -0,0 +1,181 @@
+//! The software versions that began streams, so that a stream which a caller takes up at any instance
+//! goes on at the same version; see `docs/design/stream-versions.md`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jacinthlever_routing::{KEEPERS, StreamId};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::EventCode;
+use crate::context::Context;
+use crate::peers::Message;
+
+/// Number of instances that are asked for a stream. More than [`KEEPERS`], since instances that do not
+/// have the same registrations disagree on the keepers.
+const MAX_ASKED: usize = 6;
+
+/// Time limit for the answers of other instances.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Message that a stream began, or went on, at a version.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StreamBegan {
+    stream: u64,
+    version: SmolStr,
+}
+
+/// Question for the version that began a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct OriginCall {
+    /// Number of the call, which the answer repeats.
+    number: u64,
+    stream: u64,
+}
+
+/// Answer to an [`OriginCall`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OriginAnswer {
+    number: u64,
+    /// The version; `None` if it is not known.
+    version: Option<SmolStr>,
+}
+
+/// Calls of this instance that wait for answers.
+pub struct OriginCalls {
+    waiting: RefCell<BTreeMap<u64, mpsc::Sender<Option<SmolStr>>>>,
+    next_number: Cell<u64>,
+}
+
+impl OriginCalls {
+    /// Creates an instance without calls. `first_number` differs between processes, so that a late
+    /// answer to a process that has ended is not taken for one to its successor.
+    pub fn new(first_number: u64) -> Self {
+        Self {
+            waiting: RefCell::default(),
+            next_number: Cell::new(first_number),
+        }
+    }
+}
+
+/// Returns the identifier under which the stream of an attempt is recorded.
+fn stream_id(attempt: &str) -> StreamId {
+    let mut word = [0; 8];
+    word.copy_from_slice(&blake3::hash(attempt.as_bytes()).as_bytes()[..8]);
+    StreamId(u64::from_le_bytes(word))
+}
+
+/// Records, here and at the keepers of the stream, the version that began the stream whose first event
+/// an attempt brought.
+pub fn record(cx: &Context, attempt: &str, version: &SmolStr) {
+    let stream = stream_id(attempt);
+    let now = cx.now();
+    let mut state = cx.state.borrow_mut();
+    state.stream_origins.record(now, stream, version.clone());
+    let keepers = state.members.keepers(stream.0, KEEPERS);
+    drop(state);
+    for keeper in keepers {
+        let began = StreamBegan {
+            stream: stream.0,
+            version: version.clone(),
+        };
+        send(cx, Message::StreamBegan(began), &keeper);
+    }
+}
+
+/// Records what another instance says of a stream.
+pub fn handle_began(cx: &Context, began: StreamBegan) {
+    let now = cx.now();
+    let stream = StreamId(began.stream);
+    let mut state = cx.state.borrow_mut();
+    state.stream_origins.record(now, stream, began.version);
+}
+
+/// Returns the version that began the stream whose first event an attempt brought, as this instance
+/// or the first of the keepers that answers knows it; `None` if none does.
+pub async fn find(cx: &Context, attempt: &str) -> Option<SmolStr> {
+    let stream = stream_id(attempt);
+    let (known, keepers) = {
+        let state = cx.state.borrow();
+        let known = state.stream_origins.version(stream).cloned();
+        (known, state.members.keepers(stream.0, MAX_ASKED))
+    };
+    if known.is_some() {
+        return known;
+    }
+    let found = ask(cx, stream, &keepers).await;
+    if let Some(version) = &found {
+        let now = cx.now();
+        let mut state = cx.state.borrow_mut();
+        state.stream_origins.record(now, stream, version.clone());
+    }
+    cx.log(
+        EventCode::OriginAsked,
+        [
+            ("attempt", attempt.into()),
+            ("asked", keepers.len().into()),
+            ("version", found.as_deref().into()),
+        ],
+    );
+    found
+}
+
+async fn ask(cx: &Context, stream: StreamId, keepers: &[SmolStr]) -> Option<SmolStr> {
+    if keepers.is_empty() {
+        return None;
+    }
+    let number = cx.origin_calls.next_number.get();
+    cx.origin_calls.next_number.set(number + 1);
+    let (tx, mut rx) = mpsc::channel(keepers.len());
+    cx.origin_calls.waiting.borrow_mut().insert(number, tx);
+    for keeper in keepers {
+        let call = OriginCall {
+            number,
+            stream: stream.0,
+        };
+        send(cx, Message::OriginCall(call), keeper);
+    }
+    let answers = async {
+        for _ in keepers {
+            if let Some(Some(version)) = rx.recv().await {
+                return Some(version);
+            }
+        }
+        None
+    };
+    let found = timeout(ANSWER_TIMEOUT, answers).await;
+    cx.origin_calls.waiting.borrow_mut().remove(&number);
+    found.unwrap_or(None)
+}
+
+/// Answers the call of another instance.
+pub fn handle_call(cx: &Context, call: OriginCall, from: SocketAddr) {
+    let state = cx.state.borrow();
+    let version = state.stream_origins.version(StreamId(call.stream));
+    let answer = OriginAnswer {
+        number: call.number,
+        version: version.cloned(),
+    };
+    drop(state);
+    cx.permits.send(Message::OriginAnswer(answer), from);
+}
+
+/// Passes an answer on to the call that waits for it.
+pub fn handle_answer(cx: &Context, answer: OriginAnswer) {
+    if let Some(tx) = cx.origin_calls.waiting.borrow().get(&answer.number) {
+        // The call may have its answer already.
+        let _ = tx.try_send(answer.version);
+    }
+}
+
+fn send(cx: &Context, message: Message, address: &str) {
+    match address.parse() {
+        Ok(to) => cx.permits.send(message, to),
+        Err(error) => log::debug!("invalid address {address} of an instance: {error}"),
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod server;
 mod server_pool;
 mod stale_rows;
+mod stream_origins;
 mod suspect_parts;
 mod suspect_requests;
 
@@ -30,7 +31,7 @@
 pub use customer_charges::CustomerCharges;
 pub use event_stream::{EventSplitter, StreamEvent};
 pub use membership::{
-    Delegate, Member, MemberStatus, Membership, ReportOutcome, ZoneDigest, report_interval,
+    Delegate, KEEPERS, Member, MemberStatus, Membership, ReportOutcome, ZoneDigest, report_interval,
 };
 pub use named_limit::{LimitChange, LimitStatement, NamedLimit};
 pub use over_limit::OverLimit;
@@ -43,5 +44,6 @@
 pub use server::{CallOutcome, EngineRole, Server, ServerEntry, ServerKey, ServerState};
 pub use server_pool::{PickParams, ServerPool};
 pub use stale_rows::StaleRows;
+pub use stream_origins::{StreamId, StreamOrigins};
 pub use suspect_parts::{Crash, CrashId, PartEvidence, QuarantinedParts, SuspectParts};
 pub use suspect_requests::{Fingerprint, SuspectRequests};
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -1,6 +1,7 @@
 //! Tracks the instances of the fleet, their reachability and the delegates of the availability
 //! zones; see `docs/design/platform.md`.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -36,6 +37,22 @@
 /// Time without a digest after which another instance may become the delegate of a zone.
 const DELEGATE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Number of instances that keep what is recorded under a hash.
+pub const KEEPERS: usize = 3;
+
+/// Returns the score of an instance for a hash: FNV-1a of the name, mixed with the finalizer of
+/// SplitMix64.
+fn rendezvous_score(hash: u64, name: &str) -> u64 {
+    let mut x = 0xcbf2_9ce4_8422_2325;
+    for byte in name.bytes() {
+        x = (x ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    x ^= hash;
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
 /// The registration of an instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Member {
@@ -114,6 +131,8 @@
     zone: SmolStr,
     peers: BTreeMap<SmolStr, Peer>,
     zones: BTreeMap<SmolStr, Zone>,
+    /// All registrations of the last read of the store, also those of instances that are gone.
+    registered: BTreeMap<SmolStr, Member>,
 }
 
 impl Membership {
@@ -141,6 +160,44 @@
         }
     }
 
+    /// Sets all registrations, for [`Membership::keepers`].
+    pub fn set_registered(&mut self, registered: BTreeMap<SmolStr, Member>) {
+        self.registered = registered;
+    }
+
+    /// Returns the addresses for messages of up to `max` other instances that keep what is recorded
+    /// under a hash, the best one first.
+    ///
+    /// The first [`KEEPERS`] are in different zones, as far as there are so many. All instances with
+    /// the same registrations return the same ones (rendezvous hashing), except that this instance is
+    /// left out.
+    pub fn keepers(&self, hash: u64, max: usize) -> Vec<SmolStr> {
+        let local = self.peers.iter().map(|(name, peer)| (name, &peer.member));
+        let mut known: BTreeMap<&SmolStr, &Member> = self.registered.iter().collect();
+        known.extend(local);
+        known.remove(&self.name);
+        let mut ranked: Vec<(u64, &Member)> = known
+            .into_iter()
+            .map(|(name, member)| (rendezvous_score(hash, name), member))
+            .collect();
+        ranked.sort_by_key(|(score, _)| Reverse(*score));
+        let mut zones = Vec::new();
+        let (mut best, mut others) = (Vec::new(), Vec::new());
+        for (_, member) in ranked {
+            if best.len() < KEEPERS && !zones.contains(&&member.zone) {
+                zones.push(&member.zone);
+                best.push(member);
+            } else {
+                others.push(member);
+            }
+        }
+        let keepers = best.into_iter().chain(others);
+        keepers
+            .take(max)
+            .map(|member| member.peer_address.clone())
+            .collect()
+    }
+
     /// Removes an instance whose registration was removed.
     pub fn remove(&mut self, name: &str) {
         self.peers.remove(name);
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -1,6 +1,6 @@
 //! The registered backend servers, and the choice of a server for a request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -18,6 +18,10 @@
 /// is only seconds old.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
+/// Time for which the version of servers that are gone is remembered: streams that they began may be
+/// taken up that long.
+const VERSION_RETENTION: Duration = Duration::from_secs(60);
+
 /// Cost of a server in another zone, in the unit of the load: 1 is the load of a server whose slots
 /// are all in use.
 const REMOTE_ZONE_COST: f64 = 0.5;
@@ -70,9 +74,16 @@
     pub zone: &'a str,
     /// Servers that must not be picked.
     pub avoid: &'a [ServerKey],
+    /// Version that a decode engine must have, to continue a stream.
+    pub version: Option<&'a str>,
 }
 
 impl PickParams<'_> {
+    fn has_version(&self, server: &Server) -> bool {
+        self.version
+            .is_none_or(|version| server.entry.version == version)
+    }
+
     fn remote_zone_cost(&self, server: &Server, cost: f64) -> f64 {
         if server.entry.zone == self.zone {
             0.0
@@ -89,6 +100,8 @@
     by_id: BTreeMap<SmolStr, ServerKey>,
     /// Start time of servers whose registration was removed, and when that was.
     removed: BTreeMap<SmolStr, (Option<u64>, Duration)>,
+    /// When a server of a service with a version was last registered, by service and version.
+    versions: BTreeMap<(SmolStr, SmolStr), Duration>,
 }
 
 impl ServerPool {
@@ -150,6 +163,12 @@
     pub fn remove_expired(&mut self, now: Duration) {
         self.removed
             .retain(|_, (_, at)| now < *at + REMOVED_RETENTION);
+        for server in self.servers.values() {
+            let entry = &server.entry;
+            let version = (entry.service.clone(), entry.version.clone());
+            self.versions.insert(version, now);
+        }
+        self.versions.retain(|_, at| now < *at + VERSION_RETENTION);
         let is_expired = |s: &Server| {
             s.expired_at
                 .is_some_and(|at| now >= at + EXPIRED_GRACE_PERIOD)
@@ -201,6 +220,29 @@
             .filter(move |(_, s)| s.entry.service == service && s.accepts_work())
     }
 
+    /// Returns the versions of the servers of a service that are registered, or were lately.
+    pub fn versions(&self, service: &str) -> BTreeSet<&SmolStr> {
+        let lately = self.versions.keys();
+        let lately = lately
+            .filter(|(name, _)| name == service)
+            .map(|(_, version)| version);
+        let registered = self.servers.values().map(|s| &s.entry);
+        let registered = registered
+            .filter(|entry| entry.service == service)
+            .map(|entry| &entry.version);
+        lately.chain(registered).collect()
+    }
+
+    /// Whether a decode engine that may be picked exists, also if it has no room now.
+    pub fn has_decode_engine(&self, pick: &PickParams<'_>) -> bool {
+        let mut engines = self.available(pick.service);
+        engines.any(|(key, s)| {
+            s.entry.role == Some(EngineRole::Decode)
+                && !pick.avoid.contains(&key)
+                && pick.has_version(s)
+        })
+    }
+
     /// Records the outcome of a call to a server.
     pub fn record_outcome(&mut self, now: Duration, key: ServerKey, outcome: CallOutcome) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -280,6 +322,7 @@
         };
         let mut candidates: Vec<(f64, ServerKey)> = self
             .engines(pick, EngineRole::Decode)
+            .filter(|(_, s)| pick.has_version(s))
             .filter(|(_, s)| !s.is_paused(pick.now) && !s.is_full(pick.now))
             .filter(|(_, s)| s.has_capacity(pick.now, memory, tokens))
             .map(|(key, s)| (cost(s), key))
--- /dev/null
+++ b/crates/routing/src/stream_origins.rs
@@ -0,0 +1,52 @@
+//! Software versions of the engines that began streams.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+/// Time for which a stream is remembered after it began or went on; callers take it up within the
+/// deadline of their first attempt.
+const RETENTION: Duration = Duration::from_secs(60);
+
+/// Maximum number of streams that are remembered; the oldest is forgotten first.
+const MAX_STREAMS: usize = 16 * 1024;
+
+/// Hash of the identifier of the attempt that brought the first event of a stream.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StreamId(pub u64);
+
+/// The version of the engine that began each stream, which is the only one that can continue it.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    versions: BTreeMap<StreamId, (SmolStr, Duration)>,
+    /// Streams in the order in which they were recorded; one may be listed several times.
+    recorded: VecDeque<(Duration, StreamId)>,
+}
+
+impl StreamOrigins {
+    /// Records the version that began a stream.
+    pub fn record(&mut self, now: Duration, stream: StreamId, version: SmolStr) {
+        self.versions.insert(stream, (version, now));
+        self.recorded.push_back((now, stream));
+        while let Some((at, oldest)) = self.recorded.front().copied() {
+            if now < at + RETENTION && self.recorded.len() <= MAX_STREAMS {
+                break;
+            }
+            self.recorded.pop_front();
+            // A later record of the same stream stands further back.
+            if self
+                .versions
+                .get(&oldest)
+                .is_some_and(|(_, last)| *last == at)
+            {
+                self.versions.remove(&oldest);
+            }
+        }
+    }
+
+    /// Returns the version that began a stream; `None` if it is not known.
+    pub fn version(&self, stream: StreamId) -> Option<&SmolStr> {
+        self.versions.get(&stream).map(|(version, _)| version)
+    }
+}
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -43,6 +43,7 @@
         now,
         service: "service",
         zone: "a",
+        version: None,
         avoid,
     }
 }
