Streams that callers take up go to the service that began them

The split is now drawn by a hash of the attempt that began the stream, which callers name. The end-to-end test with two services failed before (the second of twelve streams) and passes.

At an instance that restarts nothing has to be known. While the weights of the route change, a stream may still change its service.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -123,6 +123,13 @@
     pub resumes: Option<SmolStr>,
 }
 
+impl CallerHeaders {
+    /// Returns the attempt that brings, or brought, the first event of the stream.
+    pub fn first_attempt(&self) -> &SmolStr {
+        self.resumes.as_ref().unwrap_or(&self.request_id)
+    }
+}
+
 /// Size of a generation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct GenerationSpec {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -20,6 +20,7 @@
 use crate::charge::Charge;
 use crate::context::Context;
 use crate::quarantine;
+use crate::stream_origins;
 
 /// `Retry-After` of refusals that are due to a configuration that may be outdated, to a route
 /// without a service, or to a server that did not have capacity in time.
@@ -197,7 +198,13 @@
         }
         Some(customer)
     };
-    let Some(service) = route.pick_destination(cx.random()).cloned() else {
+    // All attempts at a stream draw the same number, so it goes on at the service that began it.
+    let attempt = headers.first_attempt();
+    let draw = match attempt.is_empty() {
+        true => cx.random(),
+        false => stream_origins::stream_id(attempt).fraction(),
+    };
+    let Some(service) = route.pick_destination(draw).cloned() else {
         return Err(Verdict::unavailable(
             "route has no service",
             RETRY_AFTER_UNVERIFIED,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -230,8 +230,7 @@
     /// Records that the first event of the stream came from an engine of a version.
     pub fn record_first_event(&mut self, version: &SmolStr) {
         self.version.get_or_insert_with(|| version.clone());
-        let headers = &self.req.headers;
-        let attempt = headers.resumes.as_ref().unwrap_or(&headers.request_id);
+        let attempt = self.req.headers.first_attempt();
         stream_origins::record(&self.cx, attempt, version);
     }
 
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -63,8 +63,8 @@
     }
 }
 
-/// Returns the identifier under which the stream of an attempt is recorded.
-fn stream_id(attempt: &str) -> StreamId {
+/// Returns the identifier of the stream that an attempt begins.
+pub fn stream_id(attempt: &str) -> StreamId {
     let mut word = [0; 8];
     word.copy_from_slice(&blake3::hash(attempt.as_bytes()).as_bytes()[..8]);
     StreamId(u64::from_le_bytes(word))
--- a/crates/routing/src/stream_origins.rs
+++ b/crates/routing/src/stream_origins.rs
@@ -16,6 +16,13 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct StreamId(pub u64);
 
+impl StreamId {
+    /// Returns a number in `0.0..1.0`, uniform over the streams.
+    pub fn fraction(self) -> f64 {
+        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
 /// The version of the engine that began each stream, which is the only one that can continue it.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
