--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -107,8 +107,11 @@
         let now = cx.now();
         let mut state = cx.state.borrow_mut();
         state.pool.remove_expired(now);
-        cx.metrics
-            .record_limited_servers(state.pool.limited_servers());
+        cx.metrics.record_restricted_servers(
+            state.pool.limited_servers(),
+            state.pool.pausing_servers(now),
+            state.pool.leaving().count(),
+        );
         drop(state);
         cx.connection_pool.evict_expired(now);
         quarantine::remove_expired(&cx);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     store_answer_time: Histogram<f64>,
     store_answer_bytes: Counter<u64>,
     limited_servers: Gauge<u64>,
+    pausing_servers: Gauge<u64>,
+    leaving_servers: Gauge<u64>,
     crashed_runs: Counter<u64>,
     quarantined_parts: Gauge<u64>,
 }
@@ -66,6 +68,8 @@
             store_calls: meter.u64_counter("jacinthlever_store_calls").build(),
             store_answer_time,
             store_answer_bytes: meter.u64_counter("jacinthlever_store_answer_bytes").build(),
+            pausing_servers: meter.u64_gauge("jacinthlever_pausing_servers").build(),
+            leaving_servers: meter.u64_gauge("jacinthlever_leaving_servers").build(),
             limited_servers: meter.u64_gauge("jacinthlever_limited_servers").build(),
             crashed_runs: meter.u64_counter("jacinthlever_crashed_runs").build(),
             quarantined_parts: meter.u64_gauge("jacinthlever_quarantined_parts").build(),
@@ -153,9 +157,12 @@
         self.quarantined_parts.record(count as u64, &[]);
     }
 
-    /// Records the number of backend servers that name a limit.
-    pub fn record_limited_servers(&self, count: usize) {
-        self.limited_servers.record(count as u64, &[]);
+    /// Records the number of backend servers that name a limit, that want no requests from this
+    /// instance for now, and that have said that they leave.
+    pub fn record_restricted_servers(&self, limited: usize, pausing: usize, leaving: usize) {
+        self.limited_servers.record(limited as u64, &[]);
+        self.pausing_servers.record(pausing as u64, &[]);
+        self.leaving_servers.record(leaving as u64, &[]);
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -368,6 +368,12 @@
         waits.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
+    /// Returns the number of servers that want no requests from this instance for now.
+    pub fn pausing_servers(&self, now: Duration) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|s| s.requested_pause.is_active(now)).count()
+    }
+
     /// Merges what another instance has heard of a server's limit; returns the server if that
     /// changes whether it is limited.
     pub fn merge_limit(
