Soak: servers that ask for pauses and servers that leave

In each run one server refuses all requests with a pause and another one says that it leaves; each instance has to hold back, unless it was killed, stopped or paused meanwhile.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,6 +1,6 @@
 //! Faults that are injected into a fleet from outside.
 
-use crate::Impairment;
+use crate::{Impairment, Restraint};
 
 /// The connections that are impaired for a time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,6 +46,9 @@
     TruncateResponses,
     /// The server names a limit of this many requests per second.
     NameLimit(f64),
+    /// The server asks the instances to hold back: it refuses all requests with a pause, or says in all
+    /// answers that it leaves, and starts again at the end of the fault.
+    Restrain(Restraint),
 }
 
 /// A fault that is injected.
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::{Fault, Impairment, LinkFault, ServerFault, StoreFault};
+use crate::{Fault, Impairment, LinkFault, Restraint, ServerFault, StoreFault};
 
 /// Mean time between the starts of two faults.
 const MEAN_INTERVAL: Duration = Duration::from_millis(700);
@@ -73,6 +73,7 @@
         }
         faults.extend(named_limits(seed, length, fleet));
         faults.extend(restore(seed, length));
+        faults.extend(restraints(seed, length, fleet));
         faults.sort_by_key(|planned| planned.at);
         Self { faults }
     }
@@ -92,6 +93,28 @@
     })
 }
 
+/// Returns a pause that one server asks for and a departure of another one.
+///
+/// They have a generator of their own, so that the other faults of a seed stay the same.
+fn restraints(seed: u64, length: Duration, fleet: FleetSize) -> [PlannedFault; 2] {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
+    let pause = Duration::from_millis(rng.random_range(1000..3000));
+    let server = rng.random_range(0..fleet.servers);
+    let other = (server + rng.random_range(1..fleet.servers)) % fleet.servers;
+    let restraints = [(server, Restraint::Pause(pause)), (other, Restraint::Leave)];
+    restraints.map(|(server, restraint)| {
+        let duration = length.mul_f64(rng.random_range(0.3..0.6));
+        PlannedFault {
+            at: (length - duration).mul_f64(rng.random_range(0.0..1.0)),
+            duration,
+            fault: Fault::Server {
+                server,
+                fault: ServerFault::Restrain(restraint),
+            },
+        }
+    })
+}
+
 /// Returns the limits that servers name during a run, many of them at the same time: with few of
 /// them the others take the requests.
 ///
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -107,6 +107,11 @@
         self.runs.clear();
     }
 
+    /// Returns when a caller sent a request; `None` if none did.
+    pub fn sent_at(&self, id: &str) -> Option<Duration> {
+        self.sent.get(id).map(|sent| sent.at)
+    }
+
     /// Whether a backend server has run a request.
     pub fn has_run(&self, id: &str) -> bool {
         self.runs.contains_key(id)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,9 +10,11 @@
 mod ledger;
 mod limit_period;
 mod proxy;
+mod restraint;
 
 pub use fault::{Fault, LinkFault, ServerFault, StoreFault};
 pub use fault_plan::{FaultPlan, FleetSize, PlannedFault};
 pub use ledger::{CallerOutcome, Ledger, Limit, Run, SentRequest};
 pub use limit_period::LimitPeriod;
 pub use proxy::{Impairment, Proxy};
+pub use restraint::{Receipt, Restraint, RestraintPeriod};
