Crashes count from the latest send, and remembered answers stay bounded

Found on reading the change: a crash that was first reported for an earlier request with the same part kept the earlier send, so it seemed to overlap with the crash before and did not count (test failed before); and each answer could add several parts to the remembered ones but removed one at most, so their number had no bound. The later send now counts, beyond what the transit of messages explains.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -16,8 +16,8 @@
 use crate::stream_origins::OriginCalls;
 use crate::{Adapter, Clock, EventCode, EventLog, Settings, metrics::Metrics};
 
-/// Number of low bits that number the calls of one process to other instances. The bits above hold its start time,
-/// so the numbers of two processes at the same address differ.
+/// Number of low bits that number the calls of one process to other instances. The bits above hold its
+/// start time, so the numbers of two processes at the same address differ.
 const CALL_NUMBER_BITS: u32 = 20;
 
 /// Shared context of a running instance. All its tasks run on one thread; only the event log has a
--- a/crates/routing/src/suspect_parts.rs
+++ b/crates/routing/src/suspect_parts.rs
@@ -18,6 +18,9 @@
 /// Time for which a change is repeated to peers, so that a few lost messages do no harm.
 const SHARE_PERIOD: Duration = Duration::from_millis(2000);
 
+/// Difference of times that the transit of messages explains, since these carry ages.
+const AGE_TOLERANCE: Duration = Duration::from_millis(50);
+
 /// Maximum number of suspect parts; the one that changed longest ago is evicted first.
 const MAX_SUSPECTS: usize = 256;
 
@@ -167,11 +170,12 @@
                 has_changed = true;
             }
         }
-        if self.answered.len() > MAX_ANSWERED {
+        while self.answered.len() > MAX_ANSWERED {
             let oldest = self.answered.iter().min_by_key(|(_, at)| **at);
-            if let Some(oldest) = oldest.map(|(part, _)| *part) {
-                self.answered.remove(&oldest);
-            }
+            let Some(oldest) = oldest.map(|(part, _)| *part) else {
+                break;
+            };
+            self.answered.remove(&oldest);
         }
         if has_changed {
             self.judge();
@@ -219,7 +223,10 @@
                 }
                 Entry::Occupied(mut entry) => {
                     let known = &mut entry.get_mut().0;
-                    *known = sent.max(*known);
+                    if sent > *known + AGE_TOLERANCE {
+                        *known = sent;
+                        has_changed = true;
+                    }
                 }
             }
         }
--- a/crates/routing/tests/prompt_parts.rs
+++ b/crates/routing/tests/prompt_parts.rs
@@ -62,6 +62,18 @@
     assert!(!suspects.is_quarantined(&[FIRST, SUBJECT]));
 }
 
+// Guards against crashes that seem to overlap, since an earlier request with the same part ran there too.
+#[test]
+fn the_latest_request_that_a_crash_ended_counts() {
+    let mut suspects = SuspectParts::default();
+    suspects.record_crash(secs(1.0), ended_run(1, 0.9, 1.0), &[DEADLY]);
+    suspects.record_crash(secs(2.0), ended_run(2, 1.9, 2.0), &[DEADLY]);
+    suspects.record_crash(secs(3.0), ended_run(3, 0.5, 3.0), &[DEADLY]);
+    assert!(!suspects.is_quarantined(&[DEADLY]));
+    assert!(suspects.record_crash(secs(3.0), ended_run(3, 2.9, 3.0), &[DEADLY]));
+    assert!(suspects.is_quarantined(&[DEADLY]));
+}
+
 #[test]
 fn parts_that_always_crash_together_are_refused_together_only() {
     let mut suspects = SuspectParts::default();
