Instances find each other while the store loses the answers to writes

Callers of a customer at its limit could get several times the limit after instances had started together while the store carried writes out without an answer: an instance read the other registrations only after its own had been acknowledged, so each took itself for the whole fleet and kept the limits of the fleet alone. The registrations are now read before the first write and after each one, also after a failed one.

Its test failed on the code before ('not within 30s: the instance finds its peer', twice) and passes; all 37 end-to-end tests pass. An instance that starts reads the table once more.

--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -83,7 +83,10 @@
                 sleep(REWRITE_SPREAD.mul_f64(cx.random())).await;
             }
         }
-        register(cx.clone()).await;
+        let mut backoff = Backoff::default();
+        while register(&cx, &mut client).await.is_err() {
+            sleep(backoff.next_delay(cx.random())).await;
+        }
         read_registered(&cx, &mut client).await;
         let is_remover = cx.state.borrow().members.is_fleet_delegate(cx.now());
         if is_remover {
@@ -140,43 +143,48 @@
     Ok(())
 }
 
-/// Registers this instance, then reads the other registrations; retries until both succeed.
+/// Registers this instance and reads the other registrations; retries until both succeed.
 ///
-/// Of two instances that start together, the one that reads later sees the other.
+/// Of two instances that start together, the one that reads later sees the other. The others are read
+/// before the first write and after each one, also after a failed one: limits of the fleet depend on
+/// them, and a store that loses answers may have carried the write out.
 async fn join(cx: Rc<Context>) {
-    register(cx.clone()).await;
-    let mut client = StoreClient::new(cx.clone(), "instances");
+    let mut writer = StoreClient::new(cx.clone(), "register");
+    let mut reader = StoreClient::new(cx.clone(), "instances");
     let mut backoff = Backoff::default();
+    // The read is repeated after the write.
+    let _ = read_others(&cx, &mut reader).await;
     loop {
-        match client.read(Table::Instances).await {
-            Ok(rows) => {
-                for row in &rows.rows {
-                    apply_instance(&cx, row);
-                }
-                return set_registered(&cx, &rows.rows);
-            }
-            Err(_) => sleep(backoff.next_delay(cx.random())).await,
+        let is_registered = register(&cx, &mut writer).await.is_ok();
+        let has_read = read_others(&cx, &mut reader).await.is_ok();
+        if is_registered && has_read {
+            return;
         }
+        sleep(backoff.next_delay(cx.random())).await;
     }
 }
 
-/// Registers this instance; retries until the store has accepted the row.
-async fn register(cx: Rc<Context>) {
-    let mut client = StoreClient::new(cx.clone(), "register");
-    let mut backoff = Backoff::default();
+async fn read_others(cx: &Context, client: &mut StoreClient) -> Result<(), StoreError> {
+    let rows = client.read(Table::Instances).await?;
+    for row in &rows.rows {
+        apply_instance(cx, row);
+    }
+    set_registered(cx, &rows.rows);
+    Ok(())
+}
+
+/// Writes the registration of this instance once.
+async fn register(cx: &Context, client: &mut StoreClient) -> Result<(), StoreError> {
     let settings = cx.settings();
-    let Ok(value) = serde_json::to_vec(&Registration::new(&settings)) else {
-        return;
-    };
+    let value = serde_json::to_vec(&Registration::new(&settings))
+        .map_err(|error| StoreError::Unreadable(error.to_string()))?;
     let write = RowWrite {
         table: Table::Instances,
         key: settings.instance.clone(),
         value: Some(value),
         expected: None,
     };
-    while client.write(&write).await.is_err() {
-        sleep(backoff.next_delay(cx.random())).await;
-    }
+    client.write(&write).await.map(drop)
 }
 
 fn apply_instance(cx: &Context, row: &Row) {
