--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -25,7 +25,7 @@
 /// Reason for refusing a request whose prompt has a quarantined part.
 const QUARANTINED: &str = "a part of the prompt crashed the servers that answered it";
 
-/// What an instance knows of a suspect part, as instances tell each other.
+/// What an instance knows of a suspect part, in messages to other instances and in the store.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct SharedPart {
     part: u64,
@@ -150,7 +150,7 @@
     });
 }
 
-/// Changes what is known, logs what that changes in the quarantine, and tells peers at once if
+/// Changes what is known, logs what that changes in the quarantine, and sends it to peers at once if
 /// `change` returns `true`.
 fn update(cx: &Context, from: &'static str, change: impl FnOnce(&mut State) -> bool) {
     let mut state = cx.state.borrow_mut();
--- a/crates/routing/src/suspect_parts.rs
+++ b/crates/routing/src/suspect_parts.rs
@@ -64,7 +64,7 @@
 }
 
 /// Parts that every server crash of a set has in common, as far as is known. Only requests with all
-/// of them are refused: which of them is the cause cannot be told.
+/// of them are refused, since any of them may be the cause.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct QuarantinedParts {
     /// The parts, in order.
@@ -275,7 +275,7 @@
         recent.iter().map(|(p, s)| evidence(now, **p, s)).collect()
     }
 
-    /// Repeats what is known of quarantined parts to peers, some of which may not have heard of it.
+    /// Repeats what is known of quarantined parts to peers, some of which may have missed it.
     pub fn share_again(&mut self, now: Duration) {
         let now = time_of(now, Duration::ZERO);
         for set in &self.quarantined {
--- a/crates/soak/src/restraint.rs
+++ b/crates/soak/src/restraint.rs
@@ -1,4 +1,4 @@
-//! A time for which a backend server tells instances to hold back, and the check that they do.
+//! A time for which a backend server asks instances to hold back, and the check that they do.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -45,7 +45,7 @@
 
 impl RestraintPeriod {
     /// Returns a description of the first instance that did not hold back, given all requests that the
-    /// server received, in order. `is_disturbed` tells whether a fault of an instance overlaps a time.
+    /// server received, in order. `is_disturbed` returns whether a fault of an instance overlaps a time.
     pub fn violation(
         &self,
         receipts: &[Receipt],
