Retries are logged with the budget that they were taken from

Nothing said which repeat was taken from the budget, by which instance and from which share, so the hypotheses of the incident could not be told apart. JL1504 numbers the sends of a request; JL1521 and JL1522 show each retry, granted or not, with the budget; jacinthlever_retries counts them. Four copies of the take are one function now. No decision changes.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -153,6 +153,7 @@
         deadline,
         fingerprint,
         may_have_run: Cell::new(false),
+        sends: Cell::new(0),
         charge,
         is_relayed: relayed.is_some(),
     })
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -57,6 +57,8 @@
     pub fingerprint: Fingerprint,
     /// Whether a backend server may have run the request.
     pub may_have_run: Cell<bool>,
+    /// Number of times that the request, or its prompt, was sent to a backend server from here.
+    pub sends: Cell<u32>,
     /// Charge against the customer's quota; `None` on public routes.
     pub charge: Option<Charge>,
     /// Whether another instance has passed the request on to this one.
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -100,13 +100,17 @@
     Relayed = 1519,
     /// Passing a request on to another instance failed.
     RelayFailed = 1520,
+    /// A retry was taken from the budget; the fields show the budget afterwards.
+    RetryTaken = 1521,
+    /// A request was not sent again, since the retry budget is used up; the fields show the budget.
+    RetryDenied = 1522,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 49] = [
+    pub const ALL: [Self; 51] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -155,6 +159,8 @@
         Self::ConnectionTimedOut,
         Self::Relayed,
         Self::RelayFailed,
+        Self::RetryTaken,
+        Self::RetryDenied,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -142,6 +142,7 @@
         if extra.reservation_id.is_none() {
             permits::acquire(cx, server, 1).await?;
         }
+        req.sends.set(req.sends.get() + 1);
         log_send(cx, req, server, &extra);
         (cx.adapter.servers.encode_headers)(&mut headers, &extra);
         let call = Outgoing {
@@ -542,6 +543,7 @@
             ("server", picked.entry.id.as_str().into()),
             ("version", picked.entry.version.as_str().into()),
             ("work", work.into()),
+            ("send", req.sends.get().into()),
             ("resumes", req.headers.resumes.as_deref().into()),
             ("load", picked.load(now).into()),
             ("reserved_tokens", picked.reserved_tokens(now).into()),
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -29,6 +29,7 @@
 use crate::relay;
 use crate::replacement::Progress;
 use crate::reservation::{KvCache, Reservation};
+use crate::retries;
 use crate::stream::StreamForwarder;
 use crate::stream_origins;
 use crate::suspects::{self, BrokenRun};
@@ -806,12 +807,7 @@
         if self.sends == 1 {
             return true;
         }
-        let settings = self.cx.settings();
-        let now = self.cx.now();
-        let mut state = self.cx.state.borrow_mut();
-        state
-            .retry_budget(&settings, &self.req.service)
-            .try_spend(now)
+        retries::take(&self.cx, &self.req)
     }
 
     /// Undoes [`Self::try_spend_send`] for a request that was not written to a connection.
@@ -826,11 +822,7 @@
 
     /// Takes a retry from the budget; `None` if the budget is used up.
     pub fn spend_retry(&self) -> Option<SpentRetry> {
-        let settings = self.cx.settings();
-        let now = self.cx.now();
-        let mut state = self.cx.state.borrow_mut();
-        let budget = state.retry_budget(&settings, &self.req.service);
-        budget.try_spend(now).then(|| SpentRetry {
+        retries::take(&self.cx, &self.req).then(|| SpentRetry {
             cx: self.cx.clone(),
             service: self.req.service.clone(),
             is_kept: false,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod relay;
 mod replacement;
 mod reservation;
+mod retries;
 mod role_coordinator;
 mod server_limits;
 mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     crashed_runs: Counter<u64>,
     quarantined_parts: Gauge<u64>,
     relayed: Counter<u64>,
+    retries: Counter<u64>,
     lost_services: Gauge<u64>,
 }
 
@@ -76,6 +77,7 @@
             crashed_runs: meter.u64_counter("jacinthlever_crashed_runs").build(),
             quarantined_parts: meter.u64_gauge("jacinthlever_quarantined_parts").build(),
             relayed: meter.u64_counter("jacinthlever_relayed_requests").build(),
+            retries: meter.u64_counter("jacinthlever_retries").build(),
             lost_services: meter.u64_gauge("jacinthlever_lost_services").build(),
             registry,
             _provider: provider,
@@ -162,6 +164,15 @@
         self.relayed.add(1, &labels);
     }
 
+    /// Counts a retry of a request for a service, and whether the retry budget permitted it.
+    pub fn count_retry(&self, service: &str, is_granted: bool) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("granted", is_granted),
+        ];
+        self.retries.add(1, &labels);
+    }
+
     /// Records the number of services of which this instance reaches no server.
     pub fn record_lost_services(&self, count: usize) {
         self.lost_services.record(count as u64, &[]);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -21,6 +21,7 @@
 };
 use crate::reach;
 use crate::relay::{self, NO_RELAY};
+use crate::retries;
 use crate::suspects::{self, BrokenRun};
 
 /// Multiple of the latency target after which an idempotent request is also sent to a second
@@ -141,7 +142,7 @@
         req.confirm_charge()?;
         let now = self.cx.now();
         let settings = self.cx.settings();
-        let mut state = self.cx.state.borrow_mut();
+        let state = self.cx.state.borrow();
         let picked = state.pool.pick_plain(&PickParams {
             now,
             service: &self.req.service,
@@ -155,12 +156,11 @@
             let may_pass_on = is_cut_off && !self.is_passed_on && relay::has_candidate(&cx, &req);
             return Ok(may_pass_on && self.pass_on(sends));
         };
+        drop(state);
         let is_retry = self.sent + self.attempts.len() > 0;
-        let budget = state.retry_budget(&settings, &self.req.service);
-        if is_retry && !budget.try_spend(now) {
+        if is_retry && !retries::take(&cx, &req) {
             return Ok(false);
         }
-        drop(state);
         self.tried.push(server);
         self.attempts.push(Box::pin(async move {
             (Some(server), send(&cx, server, &req).await)
@@ -171,7 +171,7 @@
     /// Passes the request on to another instance, after `sends` possible runs; returns `false` if the
     /// retry budget is used up.
     fn pass_on(&mut self, sends: u32) -> bool {
-        if sends > 0 && !relay::spend_retry(&self.cx, &self.req) {
+        if sends > 0 && !retries::take(&self.cx, &self.req) {
             return false;
         }
         self.is_passed_on = true;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,7 @@
     MAX_ANSWER_BYTES, SendError, TIMED_OUT, forwardable_headers, head_timeout, idle_timeout,
 };
 use crate::reach;
+use crate::retries;
 
 /// Header of a relayed request with the number of servers that may run it.
 pub const ATTEMPTS_HEADER: HeaderName = HeaderName::from_static("jacinthlever-attempts");
@@ -167,7 +168,7 @@
                 }
                 if error.may_have_run() {
                     attempts = attempts.saturating_sub(granted);
-                    if !is_repeatable || attempts == 0 || !spend_retry(cx, req) {
+                    if !is_repeatable || attempts == 0 || !retries::take(cx, req) {
                         return Err(error);
                     }
                 }
@@ -181,15 +182,6 @@
     Err(last)
 }
 
-/// Takes a retry from the budget; `false` if the budget is used up.
-pub fn spend_retry(cx: &Context, req: &CallerRequest) -> bool {
-    let settings = cx.settings();
-    let now = cx.now();
-    let mut state = cx.state.borrow_mut();
-    let budget = state.retry_budget(&settings, &req.service);
-    budget.try_spend(now)
-}
-
 /// Passes a generation on and returns the answer; the body of a stream is forwarded as it arrives.
 ///
 /// # Errors
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -41,7 +41,7 @@
 pub use prompt_part::PromptPart;
 pub use quota::{QuotaDecision, QuotaLedger};
 pub use requested_pause::RequestedPause;
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{BudgetUse, RetryBudget};
 pub use role_planner::{EngineProfile, RoleChange, RolePlanner};
 pub use server::{CallOutcome, EngineRole, Server, ServerEntry, ServerKey, ServerState};
 pub use server_pool::{PickParams, ServerPool};
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -19,6 +19,19 @@
     retries: VecDeque<Duration>,
 }
 
+/// What a retry budget permits and what is used of it, over the present window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUse {
+    /// Number of requests of callers.
+    pub requests: usize,
+    /// Number of retries.
+    pub retries: usize,
+    /// Number of retries that may be made.
+    pub usable: f64,
+    /// Retries that may be made in addition to the ratio.
+    pub allowance: f64,
+}
+
 impl RetryBudget {
     /// Creates a budget that permits `ratio` retries per request plus `allowance` retries in each
     /// `window`.
@@ -50,15 +63,26 @@
 
     /// Takes one retry out of the budget, or returns `false` if the budget is used up.
     pub fn try_spend(&mut self, now: Duration) -> bool {
-        self.remove_expired(now);
-        let max = USABLE_FRACTION * (self.ratio * self.requests.len() as f64 + self.allowance);
-        if self.retries.len() as f64 + 1.0 > max {
+        let used = self.current_use(now);
+        if used.retries as f64 + 1.0 > used.usable {
             return false;
         }
         self.retries.push_back(now);
         true
     }
 
+    /// Returns what is permitted and used in the window that ends now.
+    pub fn current_use(&mut self, now: Duration) -> BudgetUse {
+        self.remove_expired(now);
+        let requests = self.requests.len();
+        BudgetUse {
+            requests,
+            retries: self.retries.len(),
+            usable: USABLE_FRACTION * (self.ratio * requests as f64 + self.allowance),
+            allowance: self.allowance,
+        }
+    }
+
     /// Puts back the retry that was spent last, as it was not made.
     pub fn put_back(&mut self) {
         self.retries.pop_back();
