--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod limit_period;
 mod proxy;
 mod restraint;
+mod retry_limit;
 mod server_cut;
 
 pub use cut_off::{CutOff, InjectedFault};
@@ -21,4 +22,5 @@
 pub use limit_period::LimitPeriod;
 pub use proxy::{Impairment, Proxy};
 pub use restraint::{Receipt, Restraint, RestraintPeriod};
+pub use retry_limit::{Arrival, RetryLimit};
 pub use server_cut::{CountedAttempts, FirstAttempt, ServerCut};
