Every send of a request is counted in one place

Prefills were counted among themselves, decodes among themselves, and the first of each kind was free, so a local prefill after a failed one was taken from no budget; neither was a request that was passed on after a send. Retries that waited for memory had left the window by the time of their send, and a returned retry removed the newest one, whose ever it was.

Exchange::send now takes a ticket, which no send can do without. The first of a request is free, as is the first complete prefill; each other one holds a retry until it is sent, and counts from the send on.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -21,6 +21,7 @@
 use crate::context::Context;
 use crate::quarantine;
 use crate::relay::{ATTEMPTS_HEADER, CONFIG_HEADER, RelayTerms};
+use crate::sends::Sends;
 use crate::stream_origins;
 
 /// `Retry-After` of refusals that are due to a configuration that may be outdated, to a route
@@ -135,6 +136,7 @@
         .retry_budget(&settings, &admission.service)
         .record_request(now);
     let customer = admission.customer;
+    let sends = Sends::new(cx, &summary.request_id, &admission.service);
     Ok(CallerRequest {
         method: parts.method,
         uri: parts.uri,
@@ -153,7 +155,7 @@
         deadline,
         fingerprint,
         may_have_run: Cell::new(false),
-        sends: Cell::new(0),
+        sends,
         charge,
         is_relayed: relayed.is_some(),
     })
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -14,6 +14,7 @@
 use crate::answer::Verdict;
 use crate::charge::Charge;
 use crate::context::Context;
+use crate::sends::Sends;
 
 /// Hop-by-hop headers, which apply to one connection only; see RFC 9110, section 7.6.1.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
@@ -57,8 +58,8 @@
     pub fingerprint: Fingerprint,
     /// Whether a backend server may have run the request.
     pub may_have_run: Cell<bool>,
-    /// Number of times that the request, or its prompt, was sent to a backend server from here.
-    pub sends: Cell<u32>,
+    /// The sends of the request to backend servers.
+    pub sends: Rc<Sends>,
     /// Charge against the customer's quota; `None` on public routes.
     pub charge: Option<Charge>,
     /// Whether another instance has passed the request on to this one.
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -100,7 +100,7 @@
     Relayed = 1519,
     /// Passing a request on to another instance failed.
     RelayFailed = 1520,
-    /// A retry was taken from the budget; the fields show the budget afterwards.
+    /// A retry is held in the budget; the fields show the budget with it.
     RetryTaken = 1521,
     /// A request was not sent again, since the retry budget is used up; the fields show the budget.
     RetryDenied = 1522,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -24,6 +24,7 @@
 use crate::permits;
 use crate::reach;
 use crate::relay::UNREACHED_HEADER;
+use crate::sends::SendTicket;
 use crate::server_limits;
 use crate::{AnswerHead, EngineRequest, EventCode, ServerHeaders};
 
@@ -114,11 +115,13 @@
     sender: Option<SendRequest<RequestBody>>,
     idle_timeout: Option<Duration>,
     in_flight: InFlight,
+    /// Ticket that was used for the send; `None` for a control call.
+    ticket: Option<SendTicket>,
 }
 
 impl Exchange {
     /// Sends a caller's request to a server, with the headers in `extra`, and waits up to `within`
-    /// for the head of the answer.
+    /// for the head of the answer. All sends of callers' requests are made here.
     ///
     /// # Errors
     /// Returns an error that says whether the server may have run the request.
@@ -128,6 +131,7 @@
         req: &CallerRequest,
         extra: ServerHeaders,
         within: Duration,
+        ticket: SendTicket,
     ) -> Result<Self, SendError> {
         let target = Target::lookup(cx, server).ok_or(SendError::Unsent("server is gone"))?;
         let mut headers = req.forwarded.clone();
@@ -142,8 +146,7 @@
         if extra.reservation_id.is_none() {
             permits::acquire(cx, server, 1).await?;
         }
-        req.sends.set(req.sends.get() + 1);
-        log_send(cx, req, server, &extra);
+        log_send(cx, req, server, &extra, &ticket);
         (cx.adapter.servers.encode_headers)(&mut headers, &extra);
         let call = Outgoing {
             method: req.method.clone(),
@@ -151,8 +154,15 @@
             headers,
             body: req.body.clone(),
         };
-        let caller_send = CallerSend { req, is_prefill };
-        Self::perform(cx, server, &target, call, within, Some(&caller_send)).await
+        let caller_send = CallerSend {
+            req,
+            is_prefill,
+            ticket,
+        };
+        let exchange = Self::perform(cx, server, &target, call, within, Some(&caller_send));
+        let mut exchange = exchange.await?;
+        exchange.ticket = Some(caller_send.ticket);
+        Ok(exchange)
     }
 
     /// Sends a control call, which carries no caller's request, and reads the entire answer.
@@ -232,6 +242,7 @@
             body,
             sender: (call.body.len() < LARGE_BODY_BYTES).then_some(sender),
             in_flight,
+            ticket: None,
         };
         exchange.check_answer(cx, &head, caller_send, took).await
     }
@@ -324,6 +335,11 @@
         Ok(self)
     }
 
+    /// Takes the ticket that was used for the send; `None` for a control call.
+    pub fn take_ticket(&mut self) -> Option<SendTicket> {
+        self.ticket.take()
+    }
+
     /// Reads the entire body, within the time limit for the answer.
     ///
     /// # Errors
@@ -394,6 +410,7 @@
 struct CallerSend<'a> {
     req: &'a CallerRequest,
     is_prefill: bool,
+    ticket: SendTicket,
 }
 
 /// Returns the time without an answer after which a server counts as unresponsive. A request that
@@ -475,11 +492,17 @@
             return Err(KEY_REVOKED);
         }
         let request = call.request(&target.address)?;
-        match connection.send(request).await {
-            // The server may have closed it while it was idle.
-            Err(SendError::Unsent(_)) if connection.is_reused => {}
-            sent => return sent.map(|response| (response, connection.sender)),
+        let ticket = caller_send.map(|c| &c.ticket);
+        ticket.inspect(|ticket| ticket.record_use());
+        let sent = connection.send(request).await;
+        if matches!(sent, Err(SendError::Unsent(_))) {
+            ticket.inspect(|ticket| ticket.undo_use());
+            // The server may have closed the connection while it was idle.
+            if connection.is_reused {
+                continue;
+            }
         }
+        return sent.map(|response| (response, connection.sender));
     }
 }
 
@@ -525,7 +548,13 @@
 }
 
 /// Logs a send, with the load and failure rate that were known when the server was picked.
-fn log_send(cx: &Context, req: &CallerRequest, server: ServerKey, extra: &ServerHeaders) {
+fn log_send(
+    cx: &Context,
+    req: &CallerRequest,
+    server: ServerKey,
+    extra: &ServerHeaders,
+    ticket: &SendTicket,
+) {
     let state = cx.state.borrow();
     let Some(picked) = state.pool.get(server) else {
         return;
@@ -543,7 +572,8 @@
             ("server", picked.entry.id.as_str().into()),
             ("version", picked.entry.version.as_str().into()),
             ("work", work.into()),
-            ("send", req.sends.get().into()),
+            ("send", (req.sends.count() + 1).into()),
+            ("is_retry", ticket.is_retry().into()),
             ("resumes", req.headers.resumes.as_deref().into()),
             ("load", picked.load(now).into()),
             ("reserved_tokens", picked.reserved_tokens(now).into()),
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -29,7 +29,7 @@
 use crate::relay;
 use crate::replacement::Progress;
 use crate::reservation::{KvCache, Reservation};
-use crate::retries;
+use crate::sends::{BUDGET_SPENT, SendTicket};
 use crate::stream::StreamForwarder;
 use crate::stream_origins;
 use crate::suspects::{self, BrokenRun};
@@ -63,9 +63,6 @@
 /// Maximum number of rounds of reservation, prefill and decode for one attempt of a caller.
 const MAX_ROUNDS: u32 = 3;
 
-/// Reason for which no other engine takes over.
-pub const BUDGET_SPENT: &str = "retry budget is used up";
-
 /// Factor by which the caller's estimate of the output is raised for the reservation.
 const ESTIMATE_MARGIN: f64 = 1.4;
 
@@ -83,8 +80,6 @@
     avoid: Vec<ServerKey>,
     /// Number of servers that may have run the request.
     possible_runs: u32,
-    /// Number of sends so far, counted against the retry budget.
-    sends: u32,
     /// Completion times of the steps, for the log.
     steps: StepTimes,
     /// Whether engines are searched for again beside a silent one: other generations, which have
@@ -121,13 +116,13 @@
 /// What to do next for the prefill of a prompt.
 enum PrefillStep {
     /// Send it to this prefill engine, with the expected duration.
-    Start(ServerKey, Duration),
+    Start(ServerKey, Duration, SendTicket),
     /// Wait for a prefill that runs, or for an engine that has room.
     Wait,
-    /// Leave it to the decode engine.
-    Local,
-    /// Refuse the request.
-    GiveUp,
+    /// Leave it to the decode engine; the ticket is the one for the decode.
+    Local(SendTicket),
+    /// Refuse the request for a reason.
+    GiveUp(&'static str),
 }
 
 /// Resources with which a decode can be sent to an engine.
@@ -154,30 +149,6 @@
     }
 }
 
-/// A retry that is taken from the budget; it is put back if this is dropped before it is kept.
-pub struct SpentRetry {
-    cx: Rc<Context>,
-    service: SmolStr,
-    is_kept: bool,
-}
-
-impl SpentRetry {
-    /// Keeps the retry spent, as the request was sent.
-    pub fn keep(mut self) {
-        self.is_kept = true;
-    }
-}
-
-impl Drop for SpentRetry {
-    fn drop(&mut self) {
-        if !self.is_kept {
-            let settings = self.cx.settings();
-            let mut state = self.cx.state.borrow_mut();
-            state.retry_budget(&settings, &self.service).put_back();
-        }
-    }
-}
-
 /// A decode that runs on an engine.
 pub struct DecodeRun {
     /// The exchange whose body is the stream of events.
@@ -208,7 +179,6 @@
         version: None,
         avoid: Vec::new(),
         possible_runs: 0,
-        sends: 0,
         steps: StepTimes::default(),
         is_repeated_search: false,
     };
@@ -297,7 +267,7 @@
                     ms(self.steps.reserved, self.steps.prefilled).into(),
                 ),
                 ("decode_ms", ms(self.steps.prefilled, now).into()),
-                ("sends", self.sends.into()),
+                ("sends", self.req.sends.count().into()),
             ],
         );
     }
@@ -369,7 +339,6 @@
 
     /// Records that a decode is being sent now; returns the time.
     pub fn start_send(&mut self) -> Duration {
-        self.sends += 1;
         self.steps.prefilled = self.cx.now();
         self.steps.prefilled
     }
@@ -399,15 +368,14 @@
     /// # Errors
     /// Returns a verdict that says whether the request may have run.
     pub async fn start_decode(&mut self, last_event: Option<u64>) -> Result<DecodeRun, Verdict> {
-        for round in 0..MAX_ROUNDS {
-            if round > 0 && !self.try_spend_send() {
-                break;
-            }
-            let prepared = self.prepare().await?;
+        for _ in 0..MAX_ROUNDS {
+            let ticket = self.req.sends.ticket();
+            let ticket = ticket.ok_or_else(|| self.refusal(BUDGET_SPENT))?;
+            let (prepared, ticket) = self.prepare(ticket).await?;
             let (server, version) = prepared.engine();
             let sent_at = self.cx.now();
             self.steps.prefilled = sent_at;
-            let (server, error) = match self.await_decode(prepared, last_event).await {
+            let (server, error) = match self.await_decode(prepared, ticket, last_event).await {
                 Progress::Made((prepared, Ok(exchange))) => {
                     return Ok(prepared.into_run(exchange, sent_at, version));
                 }
@@ -433,6 +401,7 @@
     async fn await_decode(
         &mut self,
         mut prepared: PreparedDecode,
+        ticket: SendTicket,
         last_event: Option<u64>,
     ) -> Progress<(PreparedDecode, Result<Exchange, SendError>)> {
         let (cx, req, server) = (
@@ -442,7 +411,7 @@
         );
         let patience = head_timeout(&req);
         let sending = async move {
-            let sent = send_decode(&cx, &req, &mut prepared, last_event).await;
+            let sent = send_decode(&cx, &req, &mut prepared, ticket, last_event).await;
             (prepared, sent)
         };
         match self.may_replace_run() {
@@ -454,15 +423,19 @@
         }
     }
 
-    /// Reserves memory at a decode engine and has the prompt prefilled.
-    pub async fn prepare(&mut self) -> Result<PreparedDecode, Verdict> {
+    /// Reserves memory at a decode engine and has the prompt prefilled. `ticket` is the one for the
+    /// decode; the prefill may use it, and another one is returned then.
+    pub async fn prepare(
+        &mut self,
+        ticket: SendTicket,
+    ) -> Result<(PreparedDecode, SendTicket), Verdict> {
         self.check_quarantine()?;
         let reservation = self.reserve().await?;
         self.req.confirm_charge()?;
         self.steps.reserved = self.cx.now();
-        let kv = self.prefill(&reservation).await?;
+        let (kv, ticket) = self.prefill(&reservation, ticket).await?;
         self.check_quarantine()?;
-        Ok(PreparedDecode { reservation, kv })
+        Ok((PreparedDecode { reservation, kv }, ticket))
     }
 
     /// Refuses the request if a part of its prompt has been quarantined since it was admitted.
@@ -669,9 +642,13 @@
 
     /// Has the prompt prefilled by a prefill engine; `None` if the decode engine should prefill it
     /// locally.
-    async fn prefill(&mut self, reservation: &Reservation) -> Result<Option<KvCache>, Verdict> {
+    async fn prefill(
+        &mut self,
+        reservation: &Reservation,
+        ticket: SendTicket,
+    ) -> Result<(Option<KvCache>, SendTicket), Verdict> {
         let mut prefills = Prefills::new(&self.cx, &self.req, self.prompt_tokens());
-        let result = self.run_prefills(reservation, &mut prefills).await;
+        let result = self.run_prefills(reservation, &mut prefills, ticket).await;
         prefills.log_overdue();
         result
     }
@@ -682,21 +659,27 @@
         &mut self,
         reservation: &Reservation,
         prefills: &mut Prefills,
-    ) -> Result<Option<KvCache>, Verdict> {
+        ticket: SendTicket,
+    ) -> Result<(Option<KvCache>, SendTicket), Verdict> {
         let zone = reservation.zone();
+        let mut for_decode = Some(ticket);
         loop {
-            match self.next_prefill_step(reservation, &zone, prefills) {
-                PrefillStep::Start(server, expected) => prefills.start(server, expected),
+            match self.next_prefill_step(reservation, &zone, prefills, &mut for_decode) {
+                PrefillStep::Start(server, expected, ticket) => {
+                    prefills.start(server, expected, ticket);
+                }
                 PrefillStep::Wait => {}
-                PrefillStep::Local => return Ok(None),
-                PrefillStep::GiveUp => return Err(self.refusal("no engine could read the prompt")),
+                PrefillStep::Local(ticket) => return Ok((None, ticket)),
+                PrefillStep::GiveUp(reason) => return Err(self.refusal(reason)),
             }
             match prefills.progress().await {
-                PrefillProgress::Ended(_, Ok(kv)) => return Ok(Some(kv)),
+                PrefillProgress::Ended(_, Ok(prefilled)) => {
+                    let ticket = prefilled.ticket.or(for_decode);
+                    let ticket = ticket.or_else(|| self.req.sends.ticket());
+                    let ticket = ticket.ok_or_else(|| self.refusal(BUDGET_SPENT))?;
+                    return Ok((Some(prefilled.kv), ticket));
+                }
                 PrefillProgress::Ended(server, Err(error)) => {
-                    if matches!(error, SendError::Unsent(_)) {
-                        self.put_back_send();
-                    }
                     if error == KEY_REVOKED {
                         return Err(self.refusal("key is no longer accepted"));
                     }
@@ -713,18 +696,17 @@
         reservation: &Reservation,
         zone: &str,
         prefills: &mut Prefills,
+        for_decode: &mut Option<SendTicket>,
     ) -> PrefillStep {
         if prefills.is_punctual() {
             return PrefillStep::Wait;
         }
         if prefills.may_send() {
             match self.choose_prefill(reservation, zone, prefills.tried()) {
-                PrefillChoice::Remote(server, expected) => {
-                    if self.try_spend_send() {
-                        return PrefillStep::Start(server, expected);
-                    }
-                    prefills.record_budget_spent();
-                }
+                PrefillChoice::Remote(server, expected) => match self.prefill_ticket(for_decode) {
+                    Some(ticket) => return PrefillStep::Start(server, expected, ticket),
+                    None => prefills.record_budget_spent(),
+                },
                 PrefillChoice::Local => {}
                 PrefillChoice::Later => return PrefillStep::Wait,
             }
@@ -734,17 +716,36 @@
         let has_begun = self.possible_runs > 0;
         let may_prefill = self.may_prefill_locally(reservation, LAST_RESORT_STALL_RATIO);
         if may_prefill || has_begun || !self.has_prefill_engines() {
-            return PrefillStep::Local;
+            let for_decode = for_decode.take();
+            let ticket = for_decode.or_else(|| match prefills.is_budget_spent() {
+                true => None,
+                false => self.req.sends.ticket(),
+            });
+            match ticket {
+                Some(ticket) => return PrefillStep::Local(ticket),
+                None => prefills.record_budget_spent(),
+            }
         }
         // Without its reservation the decode would have to wait for room at the engine.
         let now = self.cx.now();
         let can_wait = now < reservation.expires_at && !self.req.time_left(now).is_zero();
         match prefills.has_running() && can_wait {
             true => PrefillStep::Wait,
-            false => PrefillStep::GiveUp,
+            false if prefills.is_budget_spent() => PrefillStep::GiveUp(BUDGET_SPENT),
+            false => PrefillStep::GiveUp("no engine could read the prompt"),
         }
     }
 
+    /// Returns a ticket for a prefill: the one for the decode, as long as a complete prefill returns it.
+    ///
+    /// A request that may have run keeps the one for the decode, which can prefill the prompt locally.
+    fn prefill_ticket(&self, for_decode: &mut Option<SendTicket>) -> Option<SendTicket> {
+        let sends = &self.req.sends;
+        let is_shared = !sends.is_prefilled() && self.possible_runs == 0;
+        let shared = is_shared.then(|| for_decode.take()).flatten();
+        shared.or_else(|| sends.ticket())
+    }
+
     fn choose_prefill(
         &self,
         reservation: &Reservation,
@@ -799,35 +800,6 @@
     pub fn prompt_tokens(&self) -> u64 {
         self.req.headers.generation.map_or(0, |g| g.prompt_tokens)
     }
-
-    /// Counts a send and takes it from the retry budget; the first send is free. Returns `false` if
-    /// the budget is used up.
-    pub fn try_spend_send(&mut self) -> bool {
-        self.sends += 1;
-        if self.sends == 1 {
-            return true;
-        }
-        retries::take(&self.cx, &self.req)
-    }
-
-    /// Undoes [`Self::try_spend_send`] for a request that was not written to a connection.
-    pub fn put_back_send(&mut self) {
-        self.sends -= 1;
-        if self.sends > 0 {
-            let settings = self.cx.settings();
-            let mut state = self.cx.state.borrow_mut();
-            state.retry_budget(&settings, &self.req.service).put_back();
-        }
-    }
-
-    /// Takes a retry from the budget; `None` if the budget is used up.
-    pub fn spend_retry(&self) -> Option<SpentRetry> {
-        retries::take(&self.cx, &self.req).then(|| SpentRetry {
-            cx: self.cx.clone(),
-            service: self.req.service.clone(),
-            is_kept: false,
-        })
-    }
 }
 
 /// Reserves memory at an engine; `None` if it refuses or gives no answer.
@@ -869,6 +841,7 @@
     cx: &Rc<Context>,
     req: &CallerRequest,
     prepared: &mut PreparedDecode,
+    ticket: SendTicket,
     last_event: Option<u64>,
 ) -> Result<Exchange, SendError> {
     let PreparedDecode { reservation, kv } = prepared;
@@ -884,7 +857,7 @@
     }
     let left = req.time_left(cx.now());
     let before = req.may_have_run.replace(true);
-    let sent = Exchange::send(cx, reservation.server, req, extra, left).await;
+    let sent = Exchange::send(cx, reservation.server, req, extra, left, ticket).await;
     match &sent {
         Ok(_) => {
             reservation.pending_id = None;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -21,7 +21,7 @@
 };
 use crate::reach;
 use crate::relay::{self, NO_RELAY};
-use crate::retries;
+use crate::sends::SendTicket;
 use crate::suspects::{self, BrokenRun};
 
 /// Multiple of the latency target after which an idempotent request is also sent to a second
@@ -53,8 +53,6 @@
     tried: Vec<ServerKey>,
     /// Number of finished attempts that may have run the request.
     possible_runs: u32,
-    /// Number of finished attempts that were sent to a server.
-    sent: usize,
     attempts: FuturesUnordered<Attempt>,
     last_failure: Option<FullResponse>,
     last_error: Option<SendError>,
@@ -75,7 +73,6 @@
         req,
         tried: Vec::new(),
         possible_runs: 0,
-        sent: 0,
         attempts: FuturesUnordered::new(),
         last_failure: None,
         last_error: None,
@@ -157,13 +154,12 @@
             return Ok(may_pass_on && self.pass_on(sends));
         };
         drop(state);
-        let is_retry = self.sent + self.attempts.len() > 0;
-        if is_retry && !retries::take(&cx, &req) {
+        let Some(ticket) = req.sends.ticket() else {
             return Ok(false);
-        }
+        };
         self.tried.push(server);
         self.attempts.push(Box::pin(async move {
-            (Some(server), send(&cx, server, &req).await)
+            (Some(server), send(&cx, server, &req, ticket).await)
         }));
         Ok(true)
     }
@@ -171,9 +167,9 @@
     /// Passes the request on to another instance, after `sends` possible runs; returns `false` if the
     /// retry budget is used up.
     fn pass_on(&mut self, sends: u32) -> bool {
-        if sends > 0 && !retries::take(&self.cx, &self.req) {
+        let Some(tickets) = self.req.sends.relay_tickets() else {
             return false;
-        }
+        };
         self.is_passed_on = true;
         if sends == 0 {
             relay::withdraw(&self.cx, &self.req);
@@ -181,7 +177,7 @@
         let attempts = self.req.route.max_attempts.max(1) - sends;
         let (cx, req) = (self.cx.clone(), self.req.clone());
         self.attempts.push(Box::pin(async move {
-            (None, pass_on(&cx, &req, attempts).await)
+            (None, pass_on(&cx, &req, attempts, tickets).await)
         }));
         true
     }
@@ -191,9 +187,6 @@
         server: Option<ServerKey>,
         result: Result<FullResponse, SendError>,
     ) -> Option<FullResponse> {
-        if server.is_some() && !matches!(result, Err(SendError::Unsent(_))) {
-            self.sent += 1;
-        }
         let is_sent_from_here = self.possible_runs > 0 || !self.attempts.is_empty();
         match result {
             // The other instance knows nothing of what was sent from here.
@@ -265,11 +258,13 @@
     cx: &Rc<Context>,
     server: ServerKey,
     req: &Rc<CallerRequest>,
+    ticket: SendTicket,
 ) -> Result<FullResponse, SendError> {
     // Set before the send, since the request may time out, and be answered, during the send.
     let previous = req.may_have_run.replace(true);
     let within = req.time_left(cx.now());
-    let sent = Exchange::send(cx, server, req, ServerHeaders::default(), within).await;
+    let extra = ServerHeaders::default();
+    let sent = Exchange::send(cx, server, req, extra, within, ticket).await;
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(error) => {
@@ -294,13 +289,16 @@
     cx: &Rc<Context>,
     req: &Rc<CallerRequest>,
     attempts: u32,
+    tickets: Vec<SendTicket>,
 ) -> Result<FullResponse, SendError> {
     let previous = req.may_have_run.replace(true);
-    let answer = relay::send(cx, req, attempts).await.inspect_err(|error| {
-        if !error.may_have_run() {
-            req.may_have_run.set(previous);
-        }
-    })?;
+    let answer = relay::send(cx, req, attempts, tickets)
+        .await
+        .inspect_err(|error| {
+            if !error.may_have_run() {
+                req.may_have_run.set(previous);
+            }
+        })?;
     let head = (cx.adapter.servers.decode_head)(answer.status, &answer.headers);
     Ok(FullResponse {
         status: answer.status,
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -19,6 +19,7 @@
 use crate::permits::AT_LIMIT;
 use crate::reach;
 use crate::reservation::{KvCache, Reservation};
+use crate::sends::SendTicket;
 
 /// Time added to twice the expected duration of a prefill before it is overdue.
 const PREFILL_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
@@ -37,13 +38,21 @@
 /// What came of waiting for prefills.
 pub enum PrefillProgress {
     /// An engine has answered.
-    Ended(ServerKey, Result<KvCache, SendError>),
+    Ended(ServerKey, Result<Prefilled, SendError>),
     /// The newest prefill has become overdue: the engine, and how long it has been silent.
     Overdue(ServerKey, Duration),
     /// Nothing has changed; engines may be searched for again.
     Unchanged,
 }
 
+/// The result of a prefill.
+pub struct Prefilled {
+    /// The KV cache that the engine has made.
+    pub kv: KvCache,
+    /// The ticket of the send, if it is unused again since this is the first complete prefill.
+    pub ticket: Option<SendTicket>,
+}
+
 /// A prefill that is not overdue yet.
 #[derive(Clone, Copy, Debug)]
 struct PunctualPrefill {
@@ -58,7 +67,7 @@
     cx: Rc<Context>,
     req: Rc<CallerRequest>,
     tokens: u64,
-    running: FuturesUnordered<LocalBoxFuture<'static, (ServerKey, Result<KvCache, SendError>)>>,
+    running: FuturesUnordered<LocalBoxFuture<'static, (ServerKey, Result<Prefilled, SendError>)>>,
     /// The newest one; `None` if it has ended or is overdue. All others are overdue.
     newest: Option<PunctualPrefill>,
     /// Engines whose prefill is overdue and runs.
@@ -107,20 +116,25 @@
             && !self.is_budget_spent
     }
 
+    /// Whether the retry budget allows no further send.
+    pub fn is_budget_spent(&self) -> bool {
+        self.is_budget_spent
+    }
+
     /// Records that the retry budget allows no further send.
     pub fn record_budget_spent(&mut self) {
         self.is_budget_spent = true;
     }
 
     /// Sends the prompt to an engine that is expected to take `expected` for it.
-    pub fn start(&mut self, server: ServerKey, expected: Duration) {
+    pub fn start(&mut self, server: ServerKey, expected: Duration, ticket: SendTicket) {
         self.sends += 1;
         let sent_at = self.cx.now();
         let patience = expected * 2 + PREFILL_TIMEOUT_MARGIN;
         let patience = patience.min(self.req.time_left(sent_at));
         let (cx, req, tokens) = (self.cx.clone(), self.req.clone(), self.tokens);
         self.running.push(Box::pin(async move {
-            let sent = send_prefill(&cx, &req, server, tokens, patience).await;
+            let sent = send_prefill(&cx, &req, server, tokens, patience, ticket).await;
             (server, sent)
         }));
         self.newest = Some(PunctualPrefill {
@@ -194,7 +208,8 @@
     server: ServerKey,
     tokens: u64,
     patience: Duration,
-) -> Result<KvCache, SendError> {
+    ticket: SendTicket,
+) -> Result<Prefilled, SendError> {
     let reservation = Reservation::new(cx, server, tokens);
     let began = cx.now();
     let ahead = reservation.reserved_at_engine(began);
@@ -203,8 +218,9 @@
         priority: Some(req.priority),
         ..ServerHeaders::default()
     };
-    let exchange = Exchange::send(cx, server, req, extra, req.time_left(began)).await?;
-    let status = exchange.status;
+    let within = req.time_left(began);
+    let mut exchange = Exchange::send(cx, server, req, extra, within, ticket).await?;
+    let (status, ticket) = (exchange.status, exchange.take_ticket());
     let body = exchange.read_body(MAX_ANSWER_BYTES).await?;
     let took = cx.now().saturating_sub(began);
     // The time of an engine that was silent is no measure of its speed.
@@ -218,7 +234,11 @@
     let dialect = cx.adapter.servers;
     match (dialect.prefill_result)(&body) {
         Ok(result) => {
-            KvCache::at(cx, server, result.handle, tokens).ok_or(SendError::Lost("engine is gone"))
+            let kv = KvCache::at(cx, server, result.handle, tokens);
+            Ok(Prefilled {
+                kv: kv.ok_or(SendError::Lost("engine is gone"))?,
+                ticket: ticket.and_then(SendTicket::complete_prefill),
+            })
         }
         Err(_) => Err(SendError::Lost("unreadable prefill result")),
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,7 +25,7 @@
     MAX_ANSWER_BYTES, SendError, TIMED_OUT, forwardable_headers, head_timeout, idle_timeout,
 };
 use crate::reach;
-use crate::retries;
+use crate::sends::{BUDGET_SPENT, SendTicket};
 
 /// Header of a relayed request with the number of servers that may run it.
 pub const ATTEMPTS_HEADER: HeaderName = HeaderName::from_static("jacinthlever-attempts");
@@ -138,7 +138,8 @@
 }
 
 /// Sends a request to another instance and waits for the head of its answer; one that is `safe` is
-/// sent to a further instance if that one fails. `attempts` is the number of servers that may run it.
+/// sent to a further instance if that one fails. `attempts` is the number of servers that may run it,
+/// `tickets` are those for the first instance.
 ///
 /// # Errors
 /// Returns an error that says whether a backend server may have run the request.
@@ -146,29 +147,38 @@
     cx: &Rc<Context>,
     req: &Rc<CallerRequest>,
     mut attempts: u32,
+    tickets: Vec<SendTicket>,
 ) -> Result<RelayedAnswer, SendError> {
     let is_repeatable = req.route.kind == RouteKind::Safe;
     let mut tried = Vec::new();
     let mut last = NO_RELAY;
+    let mut tickets = Some(tickets);
     while tried.len() < MAX_RELAYS {
         let Some(address) = pick(cx, req, &tried) else {
             break;
         };
+        let Some(tickets) = tickets.take().or_else(|| req.sends.relay_tickets()) else {
+            break;
+        };
         tried.push(address.clone());
         let granted = match is_repeatable {
             true => attempts.saturating_sub(1).max(1),
             false => attempts,
         };
+        tickets.iter().for_each(SendTicket::record_use);
         match send_to(cx, req, &address, granted).await {
             Ok(answer) => return Ok(answer),
             Err(error) => {
+                if !error.may_have_run() {
+                    tickets.iter().for_each(SendTicket::undo_use);
+                }
                 log_failure(cx, req, &address, error);
                 if matches!(error, SendError::Unsent(_)) {
                     cx.relays.avoid(cx.now(), &address);
                 }
                 if error.may_have_run() {
                     attempts = attempts.saturating_sub(granted);
-                    if !is_repeatable || attempts == 0 || !retries::take(cx, req) {
+                    if !is_repeatable || attempts == 0 {
                         return Err(error);
                     }
                 }
@@ -190,8 +200,15 @@
     cx: &Rc<Context>,
     req: &Rc<CallerRequest>,
 ) -> Result<Response<AnswerBody>, Verdict> {
+    let tickets = req
+        .sends
+        .relay_tickets()
+        .ok_or_else(|| match req.may_have_run.get() {
+            true => Verdict::lost(BUDGET_SPENT),
+            false => Verdict::unavailable(BUDGET_SPENT, retry_after(cx)),
+        })?;
     req.may_have_run.set(true);
-    let sent = send(cx, req, req.route.max_attempts).await;
+    let sent = send(cx, req, req.route.max_attempts, tickets).await;
     let answer = sent.map_err(|error| {
         req.may_have_run.set(error.may_have_run());
         match error.may_have_run() {
--- a/crates/gateway/src/replacement.rs
+++ b/crates/gateway/src/replacement.rs
@@ -11,9 +11,8 @@
 use crate::EventCode;
 use crate::answer::Verdict;
 use crate::exchange::{SendError, log_send_failure};
-use crate::generation::{
-    BUDGET_SPENT, DecodeRun, Generation, PreparedDecode, SpentRetry, send_decode,
-};
+use crate::generation::{DecodeRun, Generation, PreparedDecode, send_decode};
+use crate::sends::{BUDGET_SPENT, SendTicket};
 
 /// First pause between two searches for an engine; it doubles with each search.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(300);
@@ -86,9 +85,9 @@
             let refused_for = match found {
                 Err(_) => return Progress::TimedOut,
                 Ok(Err(verdict)) => verdict.reason(),
-                Ok(Ok((prepared, retry))) => {
+                Ok(Ok((prepared, ticket))) => {
                     let run = run.as_mut();
-                    match self.hand_over(run, prepared, retry, last_event).await {
+                    match self.hand_over(run, prepared, ticket, last_event).await {
                         Handover::Accepted(decode) => return Progress::Replaced(decode),
                         Handover::Failed(server, error) => return Progress::Failed(server, error),
                         Handover::Refused(error) => error.reason(),
@@ -108,12 +107,13 @@
     }
 
     /// Prepares another engine, and takes the send to it from the retry budget before.
-    async fn prepare_replacement(&mut self) -> Result<(PreparedDecode, SpentRetry), Verdict> {
+    async fn prepare_replacement(&mut self) -> Result<(PreparedDecode, SendTicket), Verdict> {
         if !self.may_retry() {
             return Err(Verdict::lost("the route allows no further run"));
         }
-        let retry = self.spend_retry().ok_or(Verdict::lost(BUDGET_SPENT))?;
-        Ok((self.prepare().await?, retry))
+        let ticket = self.req().sends.ticket();
+        self.prepare(ticket.ok_or(Verdict::lost(BUDGET_SPENT))?)
+            .await
     }
 
     /// Sends the request to another engine, and drops the silent run when that one accepts it.
@@ -121,17 +121,15 @@
         &mut self,
         mut run: Pin<&mut OptionFuture<R>>,
         mut prepared: PreparedDecode,
-        retry: SpentRetry,
+        ticket: SendTicket,
         last_event: Option<u64>,
     ) -> Handover {
         let (server, version) = prepared.engine();
         let sent_at = self.start_send();
         let (cx, req) = (self.cx().clone(), self.req().clone());
         let mut is_kept = true;
-        // The caller may leave before the outcome of the send is known.
-        retry.keep();
         let sent = {
-            let mut sending = pin!(send_decode(&cx, &req, &mut prepared, last_event));
+            let mut sending = pin!(send_decode(&cx, &req, &mut prepared, ticket, last_event));
             match timeout(OVERLAP, sending.as_mut()).await {
                 Ok(sent) => sent,
                 Err(_) => {
@@ -141,9 +139,6 @@
                 }
             }
         };
-        if matches!(sent, Err(SendError::Unsent(_))) {
-            self.put_back_send();
-        }
         let error = match sent {
             Ok(exchange) if exchange.status.is_success() => {
                 run.set(None.into());
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,7 +10,7 @@
 use crate::EventCode;
 use crate::answer::{ChunkStream, IncompleteBody, Verdict};
 use crate::exchange::{Exchange, SendError, TIMED_OUT, log_send_failure};
-use crate::generation::{BUDGET_SPENT, DecodeRun, Generation};
+use crate::generation::{DecodeRun, Generation};
 use crate::quarantine;
 use crate::replacement::Progress;
 use crate::stream_record::StreamRecord;
@@ -265,9 +265,6 @@
         if !can_resume {
             return Err("the events have no numbers");
         }
-        if !generation.try_spend_send() {
-            return Err(BUDGET_SPENT);
-        }
         match generation.start_decode(self.last_event).await {
             Ok(decode) if decode.exchange.status.is_success() => Ok(decode),
             Ok(_) => Err("another engine answered with a failure"),
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -10,13 +10,17 @@
 ///
 /// Each instance counts its own requests and uses an equal part of the fixed allowance, so the
 /// instances together stay within the budget of the fleet without exchanging messages.
+///
+/// A retry is held before it is made, since it may need other resources first, and counts from then
+/// on. It is spent, and leaves the window later, by the time at which it is sent.
 #[derive(Debug)]
 pub struct RetryBudget {
     window: Duration,
     ratio: f64,
     allowance: f64,
     requests: VecDeque<Duration>,
-    retries: VecDeque<Duration>,
+    held: usize,
+    spent: VecDeque<Duration>,
 }
 
 /// What a retry budget permits and what is used of it, over the present window.
@@ -24,9 +28,9 @@
 pub struct BudgetUse {
     /// Number of requests of callers.
     pub requests: usize,
-    /// Number of retries.
+    /// Number of retries that are held or spent.
     pub retries: usize,
-    /// Number of retries that may be made.
+    /// Number of retries that may be held or spent.
     pub usable: f64,
     /// Retries that may be made in addition to the ratio.
     pub allowance: f64,
@@ -41,7 +45,8 @@
             ratio,
             allowance,
             requests: VecDeque::new(),
-            retries: VecDeque::new(),
+            held: 0,
+            spent: VecDeque::new(),
         }
     }
 
@@ -61,14 +66,32 @@
         self.requests.pop_back();
     }
 
-    /// Takes one retry out of the budget, or returns `false` if the budget is used up.
-    pub fn try_spend(&mut self, now: Duration) -> bool {
+    /// Holds a retry, or returns `false` if the budget is used up.
+    pub fn try_hold(&mut self, now: Duration) -> bool {
         let used = self.current_use(now);
-        if used.retries as f64 + 1.0 > used.usable {
-            return false;
+        let is_granted = used.retries as f64 + 1.0 <= used.usable;
+        self.held += usize::from(is_granted);
+        is_granted
+    }
+
+    /// Returns a held retry, which was not made.
+    pub fn release(&mut self) {
+        self.held = self.held.saturating_sub(1);
+    }
+
+    /// Records that a held retry is being sent.
+    pub fn spend(&mut self, now: Duration) {
+        self.release();
+        self.spent.push_back(now);
+    }
+
+    /// Undoes [`Self::spend`] at a time: the retry is held again.
+    pub fn undo_spend(&mut self, at: Duration) {
+        self.held += 1;
+        // It may have left the window.
+        if let Some(index) = self.spent.iter().rposition(|time| *time == at) {
+            self.spent.remove(index);
         }
-        self.retries.push_back(now);
-        true
     }
 
     /// Returns what is permitted and used in the window that ends now.
@@ -77,19 +100,14 @@
         let requests = self.requests.len();
         BudgetUse {
             requests,
-            retries: self.retries.len(),
+            retries: self.held + self.spent.len(),
             usable: USABLE_FRACTION * (self.ratio * requests as f64 + self.allowance),
             allowance: self.allowance,
         }
     }
 
-    /// Puts back the retry that was spent last, as it was not made.
-    pub fn put_back(&mut self) {
-        self.retries.pop_back();
-    }
-
     fn remove_expired(&mut self, now: Duration) {
-        for times in [&mut self.requests, &mut self.retries] {
+        for times in [&mut self.requests, &mut self.spent] {
             while times.front().is_some_and(|t| *t + self.window < now) {
                 times.pop_front();
             }
--- a/crates/routing/tests/streams.rs
+++ b/crates/routing/tests/streams.rs
@@ -77,7 +77,12 @@
         for n in 0..requests / instances {
             let now = Duration::from_millis(u64::from(n) * 100);
             budget.record_request(now);
-            retries += u32::from(budget.try_spend(now)) + u32::from(budget.try_spend(now));
+            for _ in 0..2 {
+                if budget.try_hold(now) {
+                    budget.spend(now);
+                    retries += 1;
+                }
+            }
         }
     }
     let allowed = ratio * f64::from(requests) + allowance;
