The share of the retry allowance follows the largest fleet of a window

Instances divided the fixed allowance of the retry budget by the number of instances that they knew at the moment: one in the first moments of a process, few after a delegate had restarted and told of a part of its zone, and fewer at once when others were gone whose parts were used in the same window.

The share is zero until the registrations have been read, counts the registered instances as well, and grows only after the fleet has been smaller for a window. Nothing is exchanged for it.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use jacinthlever_routing::{
-    FleetConfig, Membership, QuotaLedger, Reach, RetryBudget, ServerKey, ServerPool, ServiceReach,
-    StreamOrigins, SuspectParts, SuspectRequests,
+    AllowanceShare, FleetConfig, Membership, QuotaLedger, Reach, RetryBudget, ServerKey,
+    ServerPool, ServiceReach, StreamOrigins, SuspectParts, SuspectRequests,
 };
 use smol_str::SmolStr;
 
@@ -52,7 +52,7 @@
     /// Retry budgets by service.
     pub retry_budgets: BTreeMap<SmolStr, RetryBudget>,
     /// This instance's share of the retries that each service allows in addition to the ratio.
-    pub retry_allowance: f64,
+    pub retry_share: AllowanceShare,
     /// When reads of the servers succeeded again after the store had been unreachable; `None` if it
     /// never was.
     pub servers_recovered_at: Option<Duration>,
@@ -65,6 +65,7 @@
     pub fn new(settings: &Settings) -> Self {
         Self {
             members: Membership::new(settings.instance.clone(), settings.zone.clone()),
+            retry_share: AllowanceShare::new(settings.bounds.retry_window()),
             ..Self::default()
         }
     }
@@ -162,7 +163,7 @@
     /// Returns the retry budget of a service.
     pub fn retry_budget(&mut self, settings: &Settings, service: &SmolStr) -> &mut RetryBudget {
         let bounds = &settings.bounds;
-        let allowance = self.retry_allowance;
+        let allowance = bounds.retry_allowance * self.retry_share.fraction();
         self.retry_budgets
             .entry(service.clone())
             .or_insert_with(|| {
@@ -173,10 +174,12 @@
     /// Recomputes this instance's share of fleet-wide allowances from the present size of the
     /// fleet.
     pub fn redistribute_allowances(&mut self, now: Duration, settings: &Settings) {
-        let fleet = self.members.fleet_size(now) as f64;
-        self.retry_allowance = settings.bounds.retry_allowance / fleet;
+        if let Some(size) = self.members.largest_size(now) {
+            self.retry_share.record_size(now, size);
+        }
+        let allowance = settings.bounds.retry_allowance * self.retry_share.fraction();
         for budget in self.retry_budgets.values_mut() {
-            budget.set_allowance(self.retry_allowance);
+            budget.set_allowance(allowance);
         }
         self.quotas
             .set_fleet_share(now, self.members.reachable_share(now));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every method that depends on time takes it as a [`std::time::Duration`] since the start of the
 //! process. `docs/design/platform.md` describes which decision is made where.
 
+mod allowance_share;
 mod capacity_policy;
 mod config;
 mod customer_charges;
@@ -25,6 +26,7 @@
 mod suspect_parts;
 mod suspect_requests;
 
+pub use allowance_share::AllowanceShare;
 pub use capacity_policy::CapacityPolicy;
 pub use config::{
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -467,6 +467,14 @@
                 .sum::<usize>()
     }
 
+    /// Returns the largest number of instances that the fleet may have now, including this one: the
+    /// registered ones or those that reports tell of. `None` until the registrations have been read, when
+    /// few instances may be known.
+    pub fn largest_size(&self, now: Duration) -> Option<usize> {
+        let registered = self.registered.len();
+        (registered > 0).then(|| registered.max(self.fleet_size(now)))
+    }
+
     /// Returns the reachable fraction of the fleet, including this instance; between 0 and 1.
     pub fn reachable_share(&self, now: Duration) -> f64 {
         let fresh = self.zones.values().filter(|z| z.is_fresh(now));
