A process that follows another one has no share of the retry allowance

A process started with an empty budget and the whole share, although the one before it had used both in the same window; 235 of 420 retries were taken by processes younger than the window, and the instances' own counts exceeded the whole budget.

What a process has used is gone with it, so its successor has the ratio for its own requests only until a window has passed. first_start of the settings, which the platform knows, says that there was none before.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -60,6 +60,7 @@
                 ("instance", settings.instance.as_str().into()),
                 ("zone", settings.zone.as_str().into()),
                 ("incarnation", cx.incarnation.into()),
+                ("first_start", settings.is_first_start.into()),
             ],
         );
         let listen = &settings.listen;
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -114,7 +114,7 @@
     }
 }
 
-/// Sets the registrations from which the keepers of records are chosen.
+/// Sets the registrations, from which the keepers of records are chosen and the fleet is counted.
 fn set_registered(cx: &Context, rows: &[Row]) {
     let registered = rows.iter().filter_map(|row| {
         let value = row.value.as_ref()?;
@@ -124,6 +124,7 @@
     });
     let mut state = cx.state.borrow_mut();
     state.members.set_registered(registered.collect());
+    state.redistribute_allowances(cx.now(), &cx.settings());
 }
 
 async fn remove_stale(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -20,6 +20,10 @@
     pub zone: SmolStr,
     /// Region in which this instance runs.
     pub region: SmolStr,
+    /// Whether all instances start for the first time, so that none has sent anything before. Read at
+    /// the start only.
+    #[serde(default, rename = "first_start")]
+    pub is_first_start: bool,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Maximum number of file descriptors that the process may open.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -53,6 +53,8 @@
     pub retry_budgets: BTreeMap<SmolStr, RetryBudget>,
     /// This instance's share of the retries that each service allows in addition to the ratio.
     pub retry_share: AllowanceShare,
+    /// The retries of that share.
+    pub retry_allowance: f64,
     /// When reads of the servers succeeded again after the store had been unreachable; `None` if it
     /// never was.
     pub servers_recovered_at: Option<Duration>,
@@ -63,9 +65,15 @@
 impl State {
     /// Creates the view of an instance that has just started.
     pub fn new(settings: &Settings) -> Self {
+        let window = settings.bounds.retry_window();
+        // The process before this one may have used the whole share just before its end.
+        let share_from = match settings.is_first_start {
+            true => Duration::ZERO,
+            false => window,
+        };
         Self {
             members: Membership::new(settings.instance.clone(), settings.zone.clone()),
-            retry_share: AllowanceShare::new(settings.bounds.retry_window()),
+            retry_share: AllowanceShare::new(window, share_from),
             ..Self::default()
         }
     }
@@ -163,7 +171,7 @@
     /// Returns the retry budget of a service.
     pub fn retry_budget(&mut self, settings: &Settings, service: &SmolStr) -> &mut RetryBudget {
         let bounds = &settings.bounds;
-        let allowance = bounds.retry_allowance * self.retry_share.fraction();
+        let allowance = self.retry_allowance;
         self.retry_budgets
             .entry(service.clone())
             .or_insert_with(|| {
@@ -177,9 +185,9 @@
         if let Some(size) = self.members.largest_size(now) {
             self.retry_share.record_size(now, size);
         }
-        let allowance = settings.bounds.retry_allowance * self.retry_share.fraction();
+        self.retry_allowance = settings.bounds.retry_allowance * self.retry_share.fraction(now);
         for budget in self.retry_budgets.values_mut() {
-            budget.set_allowance(allowance);
+            budget.set_allowance(self.retry_allowance);
         }
         self.quotas
             .set_fleet_share(now, self.members.reachable_share(now));
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -149,8 +149,11 @@
     zone: SmolStr,
     peers: BTreeMap<SmolStr, Peer>,
     zones: BTreeMap<SmolStr, Zone>,
-    /// All registrations of the last read of the store, also those of instances that are gone.
+    /// All registrations of the last read of the store, also those of instances that are gone; empty
+    /// before the first read.
     registered: BTreeMap<SmolStr, Member>,
+    /// Whether the registrations have been read.
+    is_read: bool,
 }
 
 impl Membership {
@@ -179,9 +182,10 @@
         }
     }
 
-    /// Sets all registrations, for [`Membership::keepers`].
+    /// Sets all registrations, for [`Membership::keepers`] and [`Membership::largest_size`].
     pub fn set_registered(&mut self, registered: BTreeMap<SmolStr, Member>) {
         self.registered = registered;
+        self.is_read = true;
     }
 
     /// Returns the addresses for messages of up to `max` other instances that keep what is recorded
@@ -471,8 +475,8 @@
     /// registered ones or those that reports tell of. `None` until the registrations have been read, when
     /// few instances may be known.
     pub fn largest_size(&self, now: Duration) -> Option<usize> {
-        let registered = self.registered.len();
-        (registered > 0).then(|| registered.max(self.fleet_size(now)))
+        let size = self.registered.len().max(self.fleet_size(now));
+        self.is_read.then_some(size)
     }
 
     /// Returns the reachable fraction of the fleet, including this instance; between 0 and 1.
