Soak: the retry budget over all servers, and storms with restarts

No run of ours added up the repeats of all instances as servers see them, and no run had most servers fail while instances restart, so the budget's faults went unseen.

--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -26,6 +26,9 @@
 /// Probability that a server falls silent when others do.
 const SILENT_SHARE: f64 = 0.8;
 
+/// Fraction of the servers that fail in a storm.
+const STORM_SHARE: f64 = 0.8;
+
 /// Maximum time for which a server is silent.
 const MAX_SILENCE: Duration = Duration::from_millis(2500);
 
@@ -99,6 +102,7 @@
         faults.extend(silences);
         faults.extend(reconfigurations(seed, length));
         faults.extend(server_cuts(seed, length, fleet));
+        faults.extend(storms(seed, length, fleet));
         faults.sort_by_key(|planned| planned.at);
         Self { faults }
     }
@@ -287,6 +291,44 @@
     faults
 }
 
+/// Returns, for one of eight seeds, times at which most servers fail what they get, while instances
+/// restart over and over: each process could repeat as much as the one before it.
+///
+/// They have a generator of their own, so that the other faults of a seed stay the same.
+fn storms(seed: u64, length: Duration, fleet: FleetSize) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(48));
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(1000..2000));
+    if seed % 8 != 7 {
+        return faults;
+    }
+    while at < length {
+        let duration = Duration::from_millis(rng.random_range(2000..6000)).min(length - at);
+        for server in 0..fleet.servers {
+            if rng.random_bool(STORM_SHARE) {
+                let fault = random_server_fault(&mut rng);
+                faults.push(PlannedFault {
+                    at,
+                    duration,
+                    fault: Fault::Server { server, fault },
+                });
+            }
+        }
+        for _ in 0..fleet.instances {
+            let instance = rng.random_range(0..fleet.instances);
+            let killed_at = at + duration.mul_f64(rng.random_range(0.0..1.0));
+            let down = Duration::from_millis(rng.random_range(20..400));
+            faults.push(PlannedFault {
+                at: killed_at,
+                duration: down.min(length - killed_at),
+                fault: Fault::Kill { instance },
+            });
+        }
+        at += duration + Duration::from_millis(rng.random_range(0..800));
+    }
+    faults
+}
+
 fn random_fault(rng: &mut ChaCha8Rng, fleet: FleetSize) -> Fault {
     let instance = rng.random_range(0..fleet.instances);
     let server = rng.random_range(0..fleet.servers);
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -19,6 +19,8 @@
     pub tokens: u64,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
+    /// Service for which it is.
+    pub service: SmolStr,
 }
 
 /// The outcome of a request, as seen by its caller.
@@ -112,6 +114,12 @@
         self.sent.get(id).map(|sent| sent.at)
     }
 
+    /// Returns when callers sent requests for a service.
+    pub fn sent_for(&self, service: &str) -> Vec<Duration> {
+        let sent = self.sent.values().filter(|sent| sent.service == service);
+        sent.map(|sent| sent.at).collect()
+    }
+
     /// Whether all requests that were sent until a time have an outcome.
     pub fn have_ended(&self, sent_until: Duration) -> bool {
         let mut sent = self.sent.iter().filter(|(_, sent)| sent.at <= sent_until);
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -17,6 +17,7 @@
         customer: "crews".into(),
         tokens: 100,
         is_idempotent,
+        service: "plain".into(),
     }
 }
 
