The first buckets of a process that follows another one are empty

A process started with full buckets, so each restart gave a customer its burst again.

The first buckets are empty now unless all instances start for the first time. A customer within its rate waits only until its rate has given the tokens of one request.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -68,6 +68,10 @@
         Self {
             members: Membership::new(settings.instance.clone(), settings.zone.clone()),
             retry_share: AllowanceShare::new(settings.bounds.retry_window()),
+            quotas: match settings.is_first_start {
+                true => QuotaLedger::default(),
+                false => QuotaLedger::following_another(),
+            },
             ..Self::default()
         }
     }
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -56,6 +56,8 @@
     /// Charges of the other zones to each customer since this instance started.
     other_zones: BTreeMap<SmolStr, RunningTotal>,
     fleet_share: FleetShare,
+    /// Whether the next buckets are empty, as the process before may have used them up.
+    follows_another: bool,
 }
 
 /// Reachable fraction of the fleet; 1 until it is set.
@@ -69,9 +71,18 @@
 }
 
 impl QuotaLedger {
+    /// Creates the ledger of a process that follows another one, whose charges are not known any more.
+    pub fn following_another() -> Self {
+        Self {
+            follows_another: true,
+            ..Self::default()
+        }
+    }
+
     /// Applies the limits of a configuration.
     ///
-    /// New buckets are full. Buckets of customers that have no limit any more are removed.
+    /// New buckets are full, except the first ones of a process that follows another one, which are
+    /// empty. Buckets of customers that have no limit any more are removed.
     pub fn configure(
         &mut self,
         now: Duration,
@@ -80,13 +91,15 @@
         let quotas: BTreeMap<_, _> = quotas.collect();
         self.buckets
             .retain(|name, _| quotas.get(name).is_some_and(Option::is_some));
+        let follows_another = std::mem::take(&mut self.follows_another);
         for (name, quota) in quotas {
             let Some(quota) = quota else { continue };
             let fleet_share = self.fleet_share.0;
+            let level = if follows_another { 0.0 } else { quota.burst };
             let bucket = self.buckets.entry(name).or_insert(Bucket {
                 quota,
-                level: quota.burst,
-                part: (fleet_share < 1.0).then_some(quota.burst * fleet_share),
+                level,
+                part: (fleet_share < 1.0).then_some(level * fleet_share),
                 refilled_at: now,
                 charged: RunningTotal::default(),
                 pending: 0,
--- a/crates/routing/tests/quotas.rs
+++ b/crates/routing/tests/quotas.rs
@@ -38,6 +38,23 @@
     assert!(try_charge(&mut ledger, Duration::from_millis(500), 500));
 }
 
+/// Guards against a process that gives customers the burst again which the one before it has given them.
+#[test]
+fn the_first_buckets_of_a_process_that_follows_another_one_are_empty() {
+    let mut ledger = QuotaLedger::following_another();
+    let customer = |name| (SmolStr::new(name), Some(QUOTA));
+    ledger.configure(Duration::ZERO, [customer("crews")].into_iter());
+    assert!(!try_charge(&mut ledger, Duration::ZERO, 100));
+    assert!(try_charge(&mut ledger, Duration::from_millis(100), 100));
+    // A customer that the operator adds later has used nothing.
+    ledger.configure(
+        Duration::ZERO,
+        [customer("crews"), customer("new")].into_iter(),
+    );
+    let added = ledger.charge(Duration::from_millis(100), "new", 2_000);
+    assert_eq!(added, QuotaDecision::Allowed);
+}
+
 #[test]
 fn a_new_instance_ignores_what_its_peers_charged_before_it_started() {
     let mut ledger = ledger(Duration::ZERO);
