A refusal after a failed relay says nothing of the relay

A caller got 401, which says that the request has not run, while a server was running it: the instance was cut from all servers and passed the request on; the first other instance sent it to a silent server and did not answer in time, and the second one refused it, as the key had been withdrawn meanwhile. The fault is older than this work: it was mended for requests that were sent from here before, not for those passed on twice.

The refusal is dropped if an earlier instance may have had the request run. a_refusal_of_a_second_instance_says_nothing_of_what_the_first_one_sent failed before (401 after 1.8 s).

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -299,11 +299,10 @@
                 req.may_have_run.set(previous);
             }
         })?;
-    let head = (cx.adapter.servers.decode_head)(answer.status, &answer.headers);
     Ok(FullResponse {
         status: answer.status,
         headers: answer.headers.clone(),
+        is_from_server: answer.is_from_server(),
         body: answer.read_body().await?,
-        is_from_server: head.is_signed,
     })
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -167,6 +167,8 @@
         };
         tickets.iter().for_each(SendTicket::record_use);
         match send_to(cx, req, &address, granted).await {
+            // An instance that refuses knows nothing of what another one has sent before.
+            Ok(answer) if last.may_have_run() && !answer.is_from_server() => return Err(last),
             Ok(answer) => return Ok(answer),
             Err(error) => {
                 if !error.may_have_run() {
@@ -314,6 +316,11 @@
 }
 
 impl RelayedAnswer {
+    /// Whether a backend server has given it; otherwise it is the verdict of the other instance.
+    pub fn is_from_server(&self) -> bool {
+        (self.cx.adapter.servers.decode_head)(self.status, &self.headers).is_signed
+    }
+
     /// Reads the entire body, up to the caller's deadline.
     ///
     /// # Errors
