--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -115,7 +115,7 @@
 
 /// What to do next for the prefill of a prompt.
 enum PrefillStep {
-    /// Send it to this prefill engine, with the expected duration.
+    /// Send it to this prefill engine, with the expected duration and the ticket of the send.
     Start(ServerKey, Duration, SendTicket),
     /// Wait for a prefill that runs, or for an engine that has room.
     Wait,
@@ -641,7 +641,7 @@
     }
 
     /// Has the prompt prefilled by a prefill engine; `None` if the decode engine should prefill it
-    /// locally.
+    /// locally. Returns the ticket for the decode as well.
     async fn prefill(
         &mut self,
         reservation: &Reservation,
