--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,41 @@
+//! Scripts of the review: `cases NAME RECORD` plays one and exits with 1 if the rule was broken, 0 if it
+//! held, and 2 if the case could not run.
+
+#![allow(dead_code)]
+
+mod bookings;
+mod fleet;
+mod http;
+mod json;
+mod store;
+
+use std::process::exit;
+
+use fleet::{Outcome, Record};
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, name, path] = args.as_slice() else {
+        eprintln!("usage: cases NAME RECORD");
+        exit(2);
+    };
+    let record = Record::create(path);
+    let outcome = match name.as_str() {
+        "late-refusal" => bookings::late_refusal(&record),
+        _ => Outcome::NotRun(format!("there is no case {name}")),
+    };
+    match outcome {
+        Outcome::Held => {
+            record.line("the rule held");
+            exit(0);
+        }
+        Outcome::Broken => {
+            record.line("the rule was broken");
+            exit(1);
+        }
+        Outcome::NotRun(cause) => {
+            record.line(format!("the case could not run: {cause}"));
+            exit(2);
+        }
+    }
+}
