--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -171,6 +171,18 @@
 
 /// Returns the row of a worker.
 pub fn worker_row(service: &str, address: &str, version: &str, state: &str, stage: &str) -> String {
+    worker_row_born(service, address, version, state, stage, 1_764_900_000_000)
+}
+
+/// Returns the row of a worker that started at a time, in Unix milliseconds.
+pub fn worker_row_born(
+    service: &str,
+    address: &str,
+    version: &str,
+    state: &str,
+    stage: &str,
+    born: u64,
+) -> String {
     let stage = match stage {
         "" => String::new(),
         stage => format!("\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],"),
@@ -178,7 +190,7 @@
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"azuay-norte\",\
          \"version\":\"{version}\",\"slots\":6,\"state\":\"{state}\",\"coldRemainingMs\":0,{stage}\
-         \"seq\":1,\"born\":1764900000000}}"
+         \"seq\":1,\"born\":{born}}}"
     )
 }
 
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -52,7 +52,7 @@
     });
 }
 
-fn serve_connection(
+pub fn serve_connection(
     stream: TcpStream,
     handle: impl Fn(Request, &Writer) -> bool,
 ) -> io::Result<()> {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,10 +4,12 @@
 #![allow(dead_code)]
 
 mod bookings;
+mod engines;
 mod fleet;
 mod http;
 mod json;
 mod store;
+mod upgrade;
 
 use std::process::exit;
 
@@ -22,6 +24,7 @@
     let record = Record::create(path);
     let outcome = match name.as_str() {
         "late-refusal" => bookings::late_refusal(&record),
+        "upgrade" => upgrade::in_place(&record),
         _ => Outcome::NotRun(format!("there is no case {name}")),
     };
     match outcome {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,8 @@
 pub struct Store {
     pub address: String,
     shared: Arc<(Mutex<Rows>, Condvar)>,
+    /// Whether calls are refused.
+    is_away: Arc<AtomicBool>,
     started: Instant,
 }
 
@@ -39,6 +42,7 @@
         let store = Self {
             address: listener.local_addr().expect("no address").to_string(),
             shared: Arc::default(),
+            is_away: Arc::default(),
             started: Instant::now(),
         };
         let served = store.clone();
@@ -78,6 +82,9 @@
     fn handle(&self, request: &Request, writer: &Writer) -> bool {
         // A read or a transaction takes some milliseconds.
         std::thread::sleep(Duration::from_millis(4));
+        if self.is_away.load(Ordering::SeqCst) {
+            return self.respond(writer, 503, self.era(), "{}");
+        }
         match request.path() {
             "/jacinthlever/rows-tx" => self.transact(request, writer),
             "/jacinthlever/rows-get" => self.read(request, writer),
@@ -92,6 +99,16 @@
         http::send(writer, &http::answer(status, &headers, body.as_bytes()))
     }
 
+    fn era(&self) -> u64 {
+        self.shared.0.lock().expect("poisoned lock").era
+    }
+
+    /// Refuses all calls, or takes them again.
+    pub fn set_away(&self, is_away: bool) {
+        self.is_away.store(is_away, Ordering::SeqCst);
+        self.shared.1.notify_all();
+    }
+
     fn now_ms(&self) -> u128 {
         self.started.elapsed().as_millis()
     }
@@ -153,6 +170,11 @@
                 drop(rows);
                 return self.respond(writer, 410, era, "{}");
             }
+            if self.is_away.load(Ordering::SeqCst) {
+                let era = rows.era;
+                drop(rows);
+                return self.respond(writer, 503, era, "{}");
+            }
             let changed = encode(&rows, &table, after, true);
             let left = deadline.saturating_duration_since(Instant::now());
             if !changed.is_empty() || left.is_zero() {
