--- a/review/standins/engines.rs
+++ b/review/standins/engines.rs
@@ -32,8 +32,16 @@
     pub prefill_time: Duration,
     pub events: u64,
     pub event_gap: Duration,
+    /// Until when the engine is silent: it sends nothing, and goes on then.
+    pub silent_until: Option<Instant>,
 }
 
+/// KV caches that prefill engines keep, by handle, with the time at which each was made.
+pub type Caches = Arc<Mutex<BTreeMap<String, Instant>>>;
+
+/// Time for which a prefill engine keeps a KV cache (`kvHoldS`).
+const CACHE_TIME: Duration = Duration::from_millis(500);
+
 #[derive(Clone)]
 pub struct Engine {
     pub name: String,
@@ -41,12 +49,16 @@
     pub conduct: Arc<Mutex<Conduct>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub holds: Arc<Mutex<Vec<Instant>>>,
+    caches: Caches,
+    prefilling: Arc<Mutex<()>>,
+    /// Requests that were refused since their KV cache could not be had, and when.
+    pub refusals: Arc<Mutex<Vec<(String, Instant)>>>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     counter: Arc<Mutex<u64>>,
 }
 
 impl Engine {
-    pub fn start(name: &str, stage: &'static str, runs: &Arc<Mutex<Vec<Run>>>) -> Self {
+    pub fn start(name: &str, stage: &'static str, runs: &Arc<Mutex<Vec<Run>>>, caches: &Caches) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("an engine cannot listen");
         let address = listener.local_addr().expect("no address").to_string();
         let engine = Self {
@@ -60,7 +72,11 @@
                 prefill_time: Duration::from_millis(60),
                 events: 45,
                 event_gap: Duration::from_millis(100),
+                silent_until: None,
             })),
+            caches: caches.clone(),
+            prefilling: Arc::default(),
+            refusals: Arc::default(),
             runs: runs.clone(),
             holds: Arc::default(),
             connections: Arc::default(),
@@ -105,6 +121,13 @@
         }
     }
 
+    /// Waits while the engine is silent.
+    fn wait_silence(&self) {
+        while let Some(until) = self.conduct().silent_until.filter(|until| Instant::now() < *until) {
+            thread::sleep(until.saturating_duration_since(Instant::now()));
+        }
+    }
+
     fn next(&self) -> u64 {
         let mut counter = self.counter.lock().expect("poisoned lock");
         *counter += 1;
@@ -116,6 +139,7 @@
         if !c.is_up {
             return false;
         }
+        self.wait_silence();
         let id = request.header("request-id").unwrap_or("").to_string();
         let by_id = [("Request-Id", id.as_str())];
         if request.header("expect-instance").is_some_and(|expected| expected != self.name) {
@@ -144,12 +168,27 @@
             _ => {}
         }
         if request.header("serving-stage") == Some("prefill") {
-            thread::sleep(c.prefill_time);
+            {
+                // One prompt after the other.
+                let _turn = self.prefilling.lock().expect("poisoned lock");
+                thread::sleep(c.prefill_time);
+            }
             let tokens = request.header("token-counts").and_then(|t| t.split(',').next()).unwrap_or("0");
-            let body = format!("{{\"kvHandle\":\"{}-{}\",\"tokens\":{tokens},\"version\":1}}", self.name, self.next());
+            let handle = format!("{}-{}", self.name, self.next());
+            self.caches.lock().expect("poisoned lock").insert(handle.clone(), Instant::now());
+            let body = format!("{{\"kvHandle\":\"{handle}\",\"tokens\":{tokens},\"version\":1}}");
             let headers = [("Request-Id", id.as_str()), ("Content-Type", "application/json")];
             return http::send(writer, &http::answer(200, &headers, body.as_bytes()));
         }
+        if let Some(source) = request.header("kv-source") {
+            let handle = source.rsplit('/').next().unwrap_or("");
+            let made_at = self.caches.lock().expect("poisoned lock").remove(handle);
+            if made_at.is_none_or(|at| at.elapsed() > CACHE_TIME) {
+                self.refusals.lock().expect("poisoned lock").push((id.clone(), Instant::now()));
+                let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
+                return http::send(writer, &http::answer(503, &headers, b""));
+            }
+        }
         self.stream(request, &id, &c, writer)
     }
 
@@ -171,6 +210,7 @@
         }
         for n in after + 1..=c.events {
             thread::sleep(c.event_gap);
+            self.wait_silence();
             let event = format!("id: {n}\ndata: {} piece {n}\n\n", c.version);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if !self.conduct().is_up || !http::send(writer, chunk.as_bytes()) {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod http;
 mod json;
+mod silence;
 mod store;
 mod upgrade;
 
@@ -24,6 +25,7 @@
     let record = Record::create(path);
     let outcome = match name.as_str() {
         "late-refusal" => bookings::late_refusal(&record),
+        "silence" => silence::while_stopping(&record),
         "upgrade" => upgrade::in_place(&record),
         _ => Outcome::NotRun(format!("there is no case {name}")),
     };
--- a/review/standins/upgrade.rs
+++ b/review/standins/upgrade.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::engines::{Engine, Run, count, events};
+use crate::engines::{Caches, Engine, Run, count, events};
 use crate::fleet::{HOST, Instance, Outcome, Record, configuration, has_trouble};
 use crate::http;
 use crate::store::Store;
@@ -20,9 +20,11 @@
     let store = Store::start();
     store.put("op", "config", &configuration(1, &[KEY]));
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-    let mut engines = vec![Engine::start("p-1", "prefill", &runs), Engine::start("p-2", "prefill", &runs)];
+    let caches = Caches::default();
+    let prefill = |name| Engine::start(name, "prefill", &runs, &caches);
+    let mut engines = vec![prefill("p-1"), prefill("p-2")];
     for n in 1..=ENGINES {
-        engines.push(Engine::start(&format!("d-{n}"), "decode", &runs));
+        engines.push(Engine::start(&format!("d-{n}"), "decode", &runs, &caches));
     }
     for engine in &engines {
         engine.register(&store, "ready");
