--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod bookings;
+mod drill;
 mod engines;
 mod fleet;
 mod http;
@@ -13,6 +14,7 @@
 mod upgrade;
 
 use std::process::exit;
+use std::sync::Arc;
 
 use fleet::{Outcome, Record};
 
@@ -22,10 +24,12 @@
         eprintln!("usage: cases NAME RECORD");
         exit(2);
     };
-    let record = Record::create(path);
+    let record = Arc::new(Record::create(path));
     let outcome = match name.as_str() {
         "late-refusal" => bookings::late_refusal(&record),
         "silence" => silence::while_stopping(&record),
+        "rejoined" => drill::rejoined(&record),
+        "revoked" => drill::revoked(&record),
         "upgrade" => upgrade::in_place(&record),
         _ => Outcome::NotRun(format!("there is no case {name}")),
     };
