--- a/review/standins/drill.rs
+++ b/review/standins/drill.rs
@@ -245,3 +245,56 @@
     record.line(format!("{ran} requests with the key have run"));
     if ran > 0 { Outcome::Broken } else { Outcome::Held }
 }
+
+/// Streams of a version of which only prefill engines are left.
+pub fn prefill_left(record: &Arc<Record>) -> Outcome {
+    let store = Store::start();
+    store.put("op", "config", &configuration(1, &[KEY]));
+    let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
+    let caches = Caches::default();
+    let engine = |name: &str, stage| Engine::start(name, stage, &runs, &caches);
+    let old = [engine("old-1", "decode"), engine("old-2", "decode")];
+    let prefill = [engine("p-1", "prefill"), engine("p-2", "prefill")];
+    for engine in prefill.iter().chain(&old) {
+        engine.register(&store, "ready");
+    }
+    let instances: Vec<Instance> =
+        ["pl-1", "pl-2"].into_iter().map(|name| Instance::start(name, "azuay-norte", &store.address)).collect();
+    for instance in &instances {
+        if let Err(cause) = instance.wait_ready() {
+            return Outcome::NotRun(cause);
+        }
+    }
+    thread::sleep(Duration::from_secs(4));
+    record.line("streams begin");
+    let addresses: Vec<String> = instances.iter().map(|i| i.callers.clone()).collect();
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|n| {
+            let (addresses, record) = (addresses.clone(), record.clone());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(40 * n as u64));
+                stream(&record, &addresses, n)
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1000));
+    let new = [engine("new-1", "decode"), engine("new-2", "decode")];
+    if has_trouble() {
+        for (engine, leaving) in new.iter().zip(&old) {
+            engine.change(|c| c.version = "v2".into());
+            engine.register(&store, "ready");
+            leaving.register(&store, "draining");
+            record.line(format!("{} replaces {}, which drains", engine.name, leaving.name));
+            thread::sleep(Duration::from_millis(800));
+        }
+        thread::sleep(Duration::from_millis(700));
+        for engine in &old {
+            engine.stop();
+            store.remove("servers", &engine.name);
+            record.line(format!("{} has ended", engine.name));
+        }
+    }
+    let whole = streams.into_iter().filter_map(|s| s.join().ok()).filter(|s| s.is_whole).count();
+    record.line(format!("{whole} of {STREAMS} streams whole, while two workers of their version serve"));
+    if whole * 2 < STREAMS { Outcome::Broken } else { Outcome::Held }
+}
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -109,9 +109,10 @@
 
     /// Sends a signal, by its name without `SIG`.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
-        status.expect("no program to send signals");
+        // Every shell has `kill` built in.
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("sh").args(["-c", command.as_str()]).status();
+        status.expect("no shell to send signals");
     }
 
     pub fn kill(&mut self) {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -30,6 +30,7 @@
         "late-refusal" => bookings::late_refusal(&record),
         "silence" => silence::while_stopping(&record),
         "rejoined" => drill::rejoined(&record),
+        "prefill-left" => drill::prefill_left(&record),
         "revoked" => drill::revoked(&record),
         "broken-off" => notes::broken_off(&record),
         "upgrade" => upgrade::in_place(&record),
