--- a/review/standins/bookings.rs
+++ b/review/standins/bookings.rs
@@ -53,17 +53,29 @@
             runs: runs.clone(),
         };
         let served = worker.clone();
-        http::serve(listener, move |request, writer| served.handle(&request, writer));
-        store.put("servers", name, &worker_row("crews", &address, "v1", "ready", ""));
+        http::serve(listener, move |request, writer| {
+            served.handle(&request, writer)
+        });
+        store.put(
+            "servers",
+            name,
+            &worker_row("crews", &address, "v1", "ready", ""),
+        );
         worker
     }
 
     fn handle(&self, request: &Request, writer: &Writer) -> bool {
         if request.path() == "/health" {
-            return http::send(writer, &http::answer(200, &[("Instance-Id", self.name)], b""));
+            return http::send(
+                writer,
+                &http::answer(200, &[("Instance-Id", self.name)], b""),
+            );
         }
         let id = request.header("request-id").unwrap_or("").to_string();
-        if request.header("expect-instance").is_some_and(|expected| expected != self.name) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.name)
+        {
             return http::send(writer, &http::answer(421, &[("Request-Id", &id)], b""));
         }
         let running = self.running.fetch_add(1, Ordering::SeqCst);
@@ -72,12 +84,20 @@
             let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
             return self.send(writer, http::answer(503, &headers, b""), true);
         }
-        self.runs.lock().expect("poisoned lock").entry(id.clone()).or_default().push(self.name);
+        self.runs
+            .lock()
+            .expect("poisoned lock")
+            .entry(id.clone())
+            .or_default()
+            .push(self.name);
         let n = self.answers.load(Ordering::SeqCst);
         thread::sleep(Duration::from_millis(25 + n * 7 % 40));
         let load = format!("{running},0,{SLOTS}");
-        let headers =
-            [("Request-Id", id.as_str()), ("Server-Stamp", "stamp"), ("Server-Load", load.as_str())];
+        let headers = [
+            ("Request-Id", id.as_str()),
+            ("Server-Stamp", "stamp"),
+            ("Server-Load", load.as_str()),
+        ];
         let body = format!("booked {id}");
         let is_sent = self.send(writer, http::answer(200, &headers, body.as_bytes()), false);
         self.running.fetch_sub(1, Ordering::SeqCst);
@@ -140,8 +160,11 @@
                         ("Deadline-Ms", "1500"),
                     ];
                     let within = Duration::from_secs(3);
-                    let answer = http::call(&address, "POST", "/book/x", &headers, b"crew 7", within);
-                    let retry_after = answer.as_ref().and_then(|a| a.header("retry-after")?.parse().ok());
+                    let answer =
+                        http::call(&address, "POST", "/book/x", &headers, b"crew 7", within);
+                    let retry_after = answer
+                        .as_ref()
+                        .and_then(|a| a.header("retry-after")?.parse().ok());
                     let pause = Duration::from_secs_f64(retry_after.unwrap_or(0.005));
                     let status = answer.map_or(0, |a| a.status);
                     answered.lock().expect("poisoned lock").insert(id, status);
@@ -156,7 +179,10 @@
         }
     }
     thread::sleep(Duration::from_secs(1));
-    let (runs, answered) = (runs.lock().expect("poisoned"), answered.lock().expect("poisoned"));
+    let (runs, answered) = (
+        runs.lock().expect("poisoned"),
+        answered.lock().expect("poisoned"),
+    );
     for worker in &workers {
         record.line(format!(
             "{}: {} answers; {} refusals sent a second time",
@@ -169,21 +195,33 @@
     for status in answered.values() {
         *statuses.entry(*status).or_default() += 1;
     }
-    record.line(format!("{} bookings, by status: {statuses:?}", answered.len()));
+    record.line(format!(
+        "{} bookings, by status: {statuses:?}",
+        answered.len()
+    ));
     let (mut twice, mut denied) = (0, 0);
     for (id, workers) in runs.iter() {
         let status = answered.get(id).copied().unwrap_or(0);
         if workers.len() > 1 {
             twice += 1;
-            record.line(format!("TWICE: {id} was run by {workers:?}, answered {status}"));
+            record.line(format!(
+                "TWICE: {id} was run by {workers:?}, answered {status}"
+            ));
         }
         if [408, 421, 429, 503].contains(&status) {
             denied += 1;
-            record.line(format!("REFUSED: {id} was run by {workers:?}, answered {status}"));
+            record.line(format!(
+                "REFUSED: {id} was run by {workers:?}, answered {status}"
+            ));
         }
     }
-    record.line(format!("{twice} bookings ran twice, {denied} ran and were said not to have run"));
-    if statuses.get(&200).is_none_or(|served| served * 2 < answered.len()) {
+    record.line(format!(
+        "{twice} bookings ran twice, {denied} ran and were said not to have run"
+    ));
+    if statuses
+        .get(&200)
+        .is_none_or(|served| served * 2 < answered.len())
+    {
         return Outcome::NotRun("less than half of the bookings was served".into());
     }
     match twice + denied {
--- a/review/standins/drill.rs
+++ b/review/standins/drill.rs
@@ -39,11 +39,26 @@
 fn stream(record: &Record, addresses: &[String], n: usize) -> Stream {
     let first = format!("s-{n}");
     let deadline = Instant::now() + Duration::from_secs(14);
-    let mut stream = Stream { id: first.clone(), events: Vec::new(), is_whole: false };
+    let mut stream = Stream {
+        id: first.clone(),
+        events: Vec::new(),
+        is_whole: false,
+    };
     for attempt in 0..=RETRIES {
-        let id = if attempt == 0 { first.clone() } else { format!("{first}-{attempt}") };
-        let last = stream.events.last().map_or(0, |(number, _)| *number).to_string();
-        let left = deadline.saturating_duration_since(Instant::now()).as_millis().to_string();
+        let id = if attempt == 0 {
+            first.clone()
+        } else {
+            format!("{first}-{attempt}")
+        };
+        let last = stream
+            .events
+            .last()
+            .map_or(0, |(number, _)| *number)
+            .to_string();
+        let left = deadline
+            .saturating_duration_since(Instant::now())
+            .as_millis()
+            .to_string();
         let mut headers = vec![
             ("Host", HOST),
             ("Request-Id", id.as_str()),
@@ -61,7 +76,12 @@
         let within = Duration::from_secs(4);
         let answer = http::call(address, "POST", "/draft/x", &headers, b"wall", within);
         let mut pause = PAUSE;
-        if let Some(Answer { status: 200, is_complete, .. }) = answer {
+        if let Some(Answer {
+            status: 200,
+            is_complete,
+            ..
+        }) = answer
+        {
             let came = events(&answer.as_ref().expect("an answer").text());
             if attempt > 0 && !came.is_empty() {
                 let versions = count(came.iter().map(|(_, version)| version.clone()));
@@ -72,7 +92,10 @@
             if is_complete {
                 break;
             }
-        } else if let Some(after) = answer.as_ref().and_then(|a| a.header("retry-after")?.parse().ok()) {
+        } else if let Some(after) = answer
+            .as_ref()
+            .and_then(|a| a.header("retry-after")?.parse().ok())
+        {
             pause = Duration::from_secs_f64(after);
         }
         thread::sleep(pause);
@@ -86,15 +109,24 @@
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let caches = Caches::default();
     let engine = |name: String, stage| Engine::start(&name, stage, &runs, &caches);
-    let prefill = [engine("p-1".into(), "prefill"), engine("p-2".into(), "prefill")];
-    let old: Vec<Engine> = (1..=6).map(|n| engine(format!("old-{n}"), "decode")).collect();
+    let prefill = [
+        engine("p-1".into(), "prefill"),
+        engine("p-2".into(), "prefill"),
+    ];
+    let old: Vec<Engine> = (1..=6)
+        .map(|n| engine(format!("old-{n}"), "decode"))
+        .collect();
     for engine in prefill.iter().chain(&old) {
         engine.register(&store, "ready");
     }
-    let mut instances: Vec<Instance> = [("dr-1", "azuay-norte"), ("dr-2", "azuay-norte"), ("dr-3", "azuay-centro")]
-        .into_iter()
-        .map(|(name, zone)| Instance::start(name, zone, &store.address))
-        .collect();
+    let mut instances: Vec<Instance> = [
+        ("dr-1", "azuay-norte"),
+        ("dr-2", "azuay-norte"),
+        ("dr-3", "azuay-centro"),
+    ]
+    .into_iter()
+    .map(|(name, zone)| Instance::start(name, zone, &store.address))
+    .collect();
     for instance in &instances {
         if let Err(cause) = instance.wait_ready() {
             return Outcome::NotRun(cause);
@@ -103,7 +135,9 @@
     thread::sleep(Duration::from_secs(4));
     let copy = store.copy();
     record.line("the store is copied; then half of the decode engines is replaced by newer ones");
-    let new: Vec<Engine> = (1..=3).map(|n| engine(format!("new-{n}"), "decode")).collect();
+    let new: Vec<Engine> = (1..=3)
+        .map(|n| engine(format!("new-{n}"), "decode"))
+        .collect();
     for (engine, leaving) in new.iter().zip(&old) {
         engine.change(|c| {
             c.version = "v2".into();
@@ -143,7 +177,10 @@
                 thread::sleep(FIRST_ENTRY + NEXT_ENTRY * n as u32);
                 engine.register(&store, "ready");
                 old.register(&store, "draining");
-                record.line(format!("{} and {} have written their entries again", engine.name, old.name));
+                record.line(format!(
+                    "{} and {} have written their entries again",
+                    engine.name, old.name
+                ));
             }));
         }
     }
@@ -154,15 +191,24 @@
         };
         let versions = count(stream.events.iter().map(|(_, version)| version.clone()));
         let mark = if versions.len() > 1 { "JOINED" } else { "kept" };
-        record.line(format!("{mark}: {}: whole {}, events of {versions:?}", stream.id, stream.is_whole));
+        record.line(format!(
+            "{mark}: {}: whole {}, events of {versions:?}",
+            stream.id, stream.is_whole
+        ));
         joined += usize::from(versions.len() > 1);
         whole += usize::from(stream.is_whole);
     }
     for writer in writers {
         let _ = writer.join();
     }
-    record.line(format!("{whole} of {STREAMS} streams whole, {joined} joined from two versions"));
-    if joined > 2 { Outcome::Broken } else { Outcome::Held }
+    record.line(format!(
+        "{whole} of {STREAMS} streams whole, {joined} joined from two versions"
+    ));
+    if joined > 2 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
 
 /// Requests with a revoked key, at an instance that is restarted just after the store has come back.
@@ -207,7 +253,14 @@
             ("Token-Counts", "1460,80"),
             ("Prompt-Prefix", "5c1e07a2:800,91bd3f06:660"),
         ];
-        let answer = http::call(address, "POST", "/draft/x", &headers, b"wall", Duration::from_secs(3));
+        let answer = http::call(
+            address,
+            "POST",
+            "/draft/x",
+            &headers,
+            b"wall",
+            Duration::from_secs(3),
+        );
         (id, answer.map_or(0, |a| a.status))
     };
     // One instance is killed and started again; with trouble, while the store comes back from the copy.
@@ -236,14 +289,27 @@
         }
         for instance in &instances {
             let (id, status) = call(&instance.callers, n);
-            record.line(format!("{id} with the key, {:?} after it was taken away, at {}: {status}", revoked_at.elapsed(), instance.name));
+            record.line(format!(
+                "{id} with the key, {:?} after it was taken away, at {}: {status}",
+                revoked_at.elapsed(),
+                instance.name
+            ));
             n += 1;
         }
         thread::sleep(Duration::from_millis(100));
     }
-    let ran = runs.lock().expect("poisoned lock").iter().filter(|r| r.id.starts_with("k-")).count();
+    let ran = runs
+        .lock()
+        .expect("poisoned lock")
+        .iter()
+        .filter(|r| r.id.starts_with("k-"))
+        .count();
     record.line(format!("{ran} requests with the key have run"));
-    if ran > 0 { Outcome::Broken } else { Outcome::Held }
+    if ran > 0 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
 
 /// Streams of a version of which only prefill engines are left.
@@ -258,8 +324,10 @@
     for engine in prefill.iter().chain(&old) {
         engine.register(&store, "ready");
     }
-    let instances: Vec<Instance> =
-        ["pl-1", "pl-2"].into_iter().map(|name| Instance::start(name, "azuay-norte", &store.address)).collect();
+    let instances: Vec<Instance> = ["pl-1", "pl-2"]
+        .into_iter()
+        .map(|name| Instance::start(name, "azuay-norte", &store.address))
+        .collect();
     for instance in &instances {
         if let Err(cause) = instance.wait_ready() {
             return Outcome::NotRun(cause);
@@ -284,7 +352,10 @@
             engine.change(|c| c.version = "v2".into());
             engine.register(&store, "ready");
             leaving.register(&store, "draining");
-            record.line(format!("{} replaces {}, which drains", engine.name, leaving.name));
+            record.line(format!(
+                "{} replaces {}, which drains",
+                engine.name, leaving.name
+            ));
             thread::sleep(Duration::from_millis(800));
         }
         thread::sleep(Duration::from_millis(700));
@@ -294,7 +365,17 @@
             record.line(format!("{} has ended", engine.name));
         }
     }
-    let whole = streams.into_iter().filter_map(|s| s.join().ok()).filter(|s| s.is_whole).count();
-    record.line(format!("{whole} of {STREAMS} streams whole, while two workers of their version serve"));
-    if whole * 2 < STREAMS { Outcome::Broken } else { Outcome::Held }
+    let whole = streams
+        .into_iter()
+        .filter_map(|s| s.join().ok())
+        .filter(|s| s.is_whole)
+        .count();
+    record.line(format!(
+        "{whole} of {STREAMS} streams whole, while two workers of their version serve"
+    ));
+    if whole * 2 < STREAMS {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
--- a/review/standins/engines.rs
+++ b/review/standins/engines.rs
@@ -58,7 +58,12 @@
 }
 
 impl Engine {
-    pub fn start(name: &str, stage: &'static str, runs: &Arc<Mutex<Vec<Run>>>, caches: &Caches) -> Self {
+    pub fn start(
+        name: &str,
+        stage: &'static str,
+        runs: &Arc<Mutex<Vec<Run>>>,
+        caches: &Caches,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("an engine cannot listen");
         let address = listener.local_addr().expect("no address").to_string();
         let engine = Self {
@@ -92,7 +97,8 @@
                     served.connections.lock().expect("poisoned lock").push(copy);
                 }
                 let served = served.clone();
-                let handle = move |request: Request, writer: &Writer| served.handle(&request, writer);
+                let handle =
+                    move |request: Request, writer: &Writer| served.handle(&request, writer);
                 thread::spawn(move || drop(http::serve_connection(stream, handle)));
             }
         });
@@ -123,7 +129,11 @@
 
     /// Waits while the engine is silent.
     fn wait_silence(&self) {
-        while let Some(until) = self.conduct().silent_until.filter(|until| Instant::now() < *until) {
+        while let Some(until) = self
+            .conduct()
+            .silent_until
+            .filter(|until| Instant::now() < *until)
+        {
             thread::sleep(until.saturating_duration_since(Instant::now()));
         }
     }
@@ -142,14 +152,26 @@
         self.wait_silence();
         let id = request.header("request-id").unwrap_or("").to_string();
         let by_id = [("Request-Id", id.as_str())];
-        if request.header("expect-instance").is_some_and(|expected| expected != self.name) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.name)
+        {
             return http::send(writer, &http::answer(421, &by_id, b""));
         }
         let born = c.born;
-        let json = |body: String| http::answer(200, &[("Content-Type", "application/json")], body.as_bytes());
+        let json = |body: String| {
+            http::answer(
+                200,
+                &[("Content-Type", "application/json")],
+                body.as_bytes(),
+            )
+        };
         match (request.method.as_str(), request.path()) {
             ("POST", "/jacinthlever/hold-take") => {
-                self.holds.lock().expect("poisoned lock").push(Instant::now());
+                self.holds
+                    .lock()
+                    .expect("poisoned lock")
+                    .push(Instant::now());
                 let body = format!("{{\"kvHold\":\"h{}\",\"born\":{born}}}", self.next());
                 return http::send(writer, &json(body));
             }
@@ -161,7 +183,9 @@
                 );
                 return http::send(writer, &json(body));
             }
-            ("POST", "/jacinthlever/order") => return http::send(writer, &http::answer(202, &[], b"{}")),
+            ("POST", "/jacinthlever/order") => {
+                return http::send(writer, &http::answer(202, &[], b"{}"));
+            }
             (_, path) if path.starts_with("/jacinthlever/") => {
                 return http::send(writer, &json("{}".into()));
             }
@@ -173,18 +197,30 @@
                 let _turn = self.prefilling.lock().expect("poisoned lock");
                 thread::sleep(c.prefill_time);
             }
-            let tokens = request.header("token-counts").and_then(|t| t.split(',').next()).unwrap_or("0");
+            let tokens = request
+                .header("token-counts")
+                .and_then(|t| t.split(',').next())
+                .unwrap_or("0");
             let handle = format!("{}-{}", self.name, self.next());
-            self.caches.lock().expect("poisoned lock").insert(handle.clone(), Instant::now());
+            self.caches
+                .lock()
+                .expect("poisoned lock")
+                .insert(handle.clone(), Instant::now());
             let body = format!("{{\"kvHandle\":\"{handle}\",\"tokens\":{tokens},\"version\":1}}");
-            let headers = [("Request-Id", id.as_str()), ("Content-Type", "application/json")];
+            let headers = [
+                ("Request-Id", id.as_str()),
+                ("Content-Type", "application/json"),
+            ];
             return http::send(writer, &http::answer(200, &headers, body.as_bytes()));
         }
         if let Some(source) = request.header("kv-source") {
             let handle = source.rsplit('/').next().unwrap_or("");
             let made_at = self.caches.lock().expect("poisoned lock").remove(handle);
             if made_at.is_none_or(|at| at.elapsed() > CACHE_TIME) {
-                self.refusals.lock().expect("poisoned lock").push((id.clone(), Instant::now()));
+                self.refusals
+                    .lock()
+                    .expect("poisoned lock")
+                    .push((id.clone(), Instant::now()));
                 let headers = [("Request-Id", id.as_str()), ("Not-Executed", "1")];
                 return http::send(writer, &http::answer(503, &headers, b""));
             }
@@ -193,7 +229,10 @@
     }
 
     fn stream(&self, request: &Request, id: &str, c: &Conduct, writer: &Writer) -> bool {
-        let after = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let after = request
+            .header("last-event-id")
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0);
         self.runs.lock().expect("poisoned lock").push(Run {
             id: id.to_string(),
             engine: self.name.clone(),
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -123,7 +123,9 @@
 
     /// Starts the process again, with the settings of a fleet that has run before.
     pub fn start_again(&mut self) {
-        let settings = self.settings.replace("\"first_start\":true", "\"first_start\":false");
+        let settings = self
+            .settings
+            .replace("\"first_start\":true", "\"first_start\":false");
         fs::write(self.folder.join("settings.json"), settings).expect("settings cannot be written");
         self.child = spawn(&self.folder);
     }
@@ -146,7 +148,10 @@
 
 /// Starts the program of the deploy file in the repository's root.
 fn spawn(folder: &PathBuf) -> Child {
-    let log = File::options().create(true).append(true).open(folder.join("log"));
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(folder.join("log"));
     Command::new("target/release/jacinthlever-instance")
         .env_clear()
         .env("JACINTHLEVER_NODE_FILE", folder.join("settings.json"))
@@ -186,7 +191,9 @@
 ) -> String {
     let stage = match stage {
         "" => String::new(),
-        stage => format!("\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],"),
+        stage => format!(
+            "\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],"
+        ),
     };
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"azuay-norte\",\
@@ -197,7 +204,12 @@
 
 /// Returns a configuration with a plain service and an engine service. `keys` are those of the tenant.
 pub fn configuration(version: u64, keys: &[&str]) -> String {
-    let route = |name: &str, kind: &str, service: &str, timeout: u32, target: u32, attempts: u32| {
+    let route = |name: &str,
+                 kind: &str,
+                 service: &str,
+                 timeout: u32,
+                 target: u32,
+                 attempts: u32| {
         let resumable = name == "draft";
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"/{name}/\",\"kind\":\"{kind}\",\
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -32,7 +32,10 @@
 }
 
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    headers
+        .iter()
+        .find(|(n, _)| n == name)
+        .map(|(_, v)| v.as_str())
 }
 
 /// The writing side of a connection, which several threads may use.
@@ -88,7 +91,10 @@
         return Ok(None);
     }
     let mut words = line.split_whitespace().map(str::to_string);
-    let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+    let (method, target) = (
+        words.next().unwrap_or_default(),
+        words.next().unwrap_or_default(),
+    );
     let headers = read_headers(reader)?;
     let mut body = Vec::new();
     if find(&headers, "transfer-encoding").is_some() {
@@ -97,7 +103,12 @@
         body = vec![0; length.parse().unwrap_or(0)];
         reader.read_exact(&mut body)?;
     }
-    Ok(Some(Request { method, target, headers, body }))
+    Ok(Some(Request {
+        method,
+        target,
+        headers,
+        body,
+    }))
 }
 
 fn read_chunks(reader: &mut impl BufRead) -> io::Result<Vec<u8>> {
@@ -132,7 +143,11 @@
 
 /// Writes bytes; returns whether that was possible.
 pub fn send(writer: &Writer, bytes: &[u8]) -> bool {
-    writer.lock().expect("poisoned lock").write_all(bytes).is_ok()
+    writer
+        .lock()
+        .expect("poisoned lock")
+        .write_all(bytes)
+        .is_ok()
 }
 
 /// An answer that a client has received.
@@ -168,7 +183,10 @@
     let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(within)).ok()?;
-    let mut text = format!("{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "{method} {target} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
@@ -196,7 +214,10 @@
         loop {
             let mut size = String::new();
             let is_read = reader.read_line(&mut size).is_ok_and(|n| n > 0);
-            let Some(length) = usize::from_str_radix(size.trim(), 16).ok().filter(|_| is_read) else {
+            let Some(length) = usize::from_str_radix(size.trim(), 16)
+                .ok()
+                .filter(|_| is_read)
+            else {
                 answer.is_complete = false;
                 return Ok(answer);
             };
@@ -213,7 +234,10 @@
             answer.body.extend(chunk);
         }
     }
-    let length = answer.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let length = answer
+        .header("content-length")
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(0);
     answer.body = vec![0; length];
     answer.is_complete = reader.read_exact(&mut answer.body).is_ok();
     Ok(answer)
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -150,7 +150,11 @@
         let word = byte(0) << 16 | byte(1) << 8 | byte(2);
         for n in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * n) & 63) as usize];
-            text.push(if n <= group.len() { char::from(digit) } else { '=' });
+            text.push(if n <= group.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/standins/notes.rs
+++ b/review/standins/notes.rs
@@ -7,8 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{HOST, Instance, Outcome, Record, configuration, has_trouble, worker_row};
 use crate::engines::{Caches, Engine};
+use crate::fleet::{HOST, Instance, Outcome, Record, configuration, has_trouble, worker_row};
 use crate::http::{self, Request, Writer};
 use crate::store::Store;
 
@@ -36,20 +36,37 @@
     fn start(name: &'static str, breaks_off: bool, store: &Store) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a worker cannot listen");
         let address = listener.local_addr().expect("no address").to_string();
-        let worker = Self { name, breaks_off, answers: Arc::default(), broken: Arc::default() };
+        let worker = Self {
+            name,
+            breaks_off,
+            answers: Arc::default(),
+            broken: Arc::default(),
+        };
         let served = worker.clone();
-        http::serve(listener, move |request, writer| served.handle(&request, writer));
-        store.put("servers", name, &worker_row("crews", &address, "v1", "ready", ""));
+        http::serve(listener, move |request, writer| {
+            served.handle(&request, writer)
+        });
+        store.put(
+            "servers",
+            name,
+            &worker_row("crews", &address, "v1", "ready", ""),
+        );
         worker
     }
 
     /// Answers with a stream that has neither a length nor chunks, and ends with its connection.
     fn handle(&self, request: &Request, writer: &Writer) -> bool {
         if request.path() == "/health" {
-            return http::send(writer, &http::answer(200, &[("Instance-Id", self.name)], b""));
+            return http::send(
+                writer,
+                &http::answer(200, &[("Instance-Id", self.name)], b""),
+            );
         }
         let id = request.header("request-id").unwrap_or("").to_string();
-        if request.header("expect-instance").is_some_and(|expected| expected != self.name) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.name)
+        {
             return http::send(writer, &http::answer(421, &[("Request-Id", &id)], b""));
         }
         let n = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
@@ -59,7 +76,10 @@
              Content-Type: text/event-stream\r\n\r\n"
         );
         http::send(writer, head.as_bytes());
-        let after = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let after = request
+            .header("last-event-id")
+            .and_then(|n| n.parse().ok())
+            .unwrap_or(0);
         for n in after + 1..=EVENTS {
             thread::sleep(GAP);
             let event = format!("id: {n}\ndata: {id} piece {n}\n\n");
@@ -94,7 +114,12 @@
         Worker::start("w-3", false, &store),
     ];
     let (runs, caches) = (Arc::default(), Caches::default());
-    let engines = [("p-1", "prefill"), ("p-2", "prefill"), ("d-1", "decode"), ("d-2", "decode")];
+    let engines = [
+        ("p-1", "prefill"),
+        ("p-2", "prefill"),
+        ("d-1", "decode"),
+        ("d-2", "decode"),
+    ];
     for (name, stage) in engines {
         let engine = Engine::start(name, stage, &runs, &caches);
         engine.change(|c| {
@@ -130,21 +155,42 @@
                         ("Prompt-Prefix", "5c1e07a2:60,91bd3f06:40"),
                     ];
                     let within = Duration::from_secs(5);
-                    let answer = http::call(&instance.callers, "POST", "/notes/x", &headers, b"wall", within);
+                    let answer = http::call(
+                        &instance.callers,
+                        "POST",
+                        "/notes/x",
+                        &headers,
+                        b"wall",
+                        within,
+                    );
                     let last = format!("piece {EVENTS}\n\n");
                     match answer {
-                        Some(a) if a.status == 200 && a.is_complete && a.text().ends_with(&last) => {
+                        Some(a)
+                            if a.status == 200 && a.is_complete && a.text().ends_with(&last) =>
+                        {
                             whole.fetch_add(1, Ordering::SeqCst);
                         }
                         Some(a) if a.status == 200 && a.is_complete => {
                             ended_early.fetch_add(1, Ordering::SeqCst);
-                            let end: String = a.text().chars().rev().take(30).collect::<Vec<_>>().into_iter().rev().collect();
-                            record.line(format!("ORDER: {id}: 200, complete, length {}, ends with {end:?}", a.body.len()));
+                            let end: String = a
+                                .text()
+                                .chars()
+                                .rev()
+                                .take(30)
+                                .collect::<Vec<_>>()
+                                .into_iter()
+                                .rev()
+                                .collect();
+                            record.line(format!(
+                                "ORDER: {id}: 200, complete, length {}, ends with {end:?}",
+                                a.body.len()
+                            ));
                         }
                         Some(a) => {
                             other.fetch_add(1, Ordering::SeqCst);
                             if a.status != 503 {
-                                record.line(format!("{id}: {} complete {}", a.status, a.is_complete));
+                                record
+                                    .line(format!("{id}: {} complete {}", a.status, a.is_complete));
                             }
                             thread::sleep(Duration::from_millis(300));
                         }
@@ -160,12 +206,22 @@
     for worker in &workers {
         let broken = worker.broken.lock().expect("poisoned lock");
         let answers = worker.answers.load(Ordering::SeqCst);
-        record.line(format!("{}: {answers} answers, {} broken off inside an event", worker.name, broken.len()));
+        record.line(format!(
+            "{}: {answers} answers, {} broken off inside an event",
+            worker.name,
+            broken.len()
+        ));
     }
     let [whole, ended_early, other] = [whole, ended_early, other].map(AtomicU64::into_inner);
-    record.line(format!("{whole} streams whole, {ended_early} complete before their last piece, {other} others"));
+    record.line(format!(
+        "{whole} streams whole, {ended_early} complete before their last piece, {other} others"
+    ));
     if whole == 0 {
         return Outcome::NotRun("no stream was whole".into());
     }
-    if ended_early > 0 { Outcome::Broken } else { Outcome::Held }
+    if ended_early > 0 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
--- a/review/standins/silence.rs
+++ b/review/standins/silence.rs
@@ -79,7 +79,9 @@
         };
         let after = ended_at.saturating_duration_since(stopped_at);
         let Some(answer) = answer else {
-            record.line(format!("LOST: {id}: no answer, ended {after:?} after SIGTERM"));
+            record.line(format!(
+                "LOST: {id}: no answer, ended {after:?} after SIGTERM"
+            ));
             lost += 1;
             continue;
         };
@@ -96,15 +98,27 @@
         whole += usize::from(is_whole && !is_lost);
     }
     for run in runs.lock().expect("poisoned lock").iter() {
-        record.line(format!("{} ran at {} after event {}", run.id, run.engine, run.after_event));
+        record.line(format!(
+            "{} ran at {} after event {}",
+            run.id, run.engine, run.after_event
+        ));
     }
     for engine in [&first, &second] {
         let refusals = engine.refusals.lock().expect("poisoned lock").len();
-        record.line(format!("{} refused {refusals} requests whose KV cache was gone", engine.name));
+        record.line(format!(
+            "{} refused {refusals} requests whose KV cache was gone",
+            engine.name
+        ));
     }
-    record.line(format!("{lost} of {STREAMS} streams were lost, {whole} whole"));
+    record.line(format!(
+        "{lost} of {STREAMS} streams were lost, {whole} whole"
+    ));
     if whole == 0 {
         return Outcome::NotRun("no stream was whole".into());
     }
-    if lost > 0 { Outcome::Broken } else { Outcome::Held }
+    if lost > 0 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -20,7 +20,8 @@
 
 impl Rows {
     fn write(&mut self, table: &str, key: &str, value: Option<String>, version: u64) {
-        self.rows.insert((table.to_string(), key.to_string()), (value, version));
+        self.rows
+            .insert((table.to_string(), key.to_string()), (value, version));
     }
 }
 
@@ -46,7 +47,9 @@
             started: Instant::now(),
         };
         let served = store.clone();
-        http::serve(listener, move |request, writer| served.handle(&request, writer));
+        http::serve(listener, move |request, writer| {
+            served.handle(&request, writer)
+        });
         store
     }
 
@@ -67,7 +70,10 @@
     pub fn restore(&self, copy: &Copy) {
         let mut rows = self.shared.0.lock().expect("poisoned lock");
         let era = rows.era + 1;
-        *rows = Rows { era, ..copy.0.clone() };
+        *rows = Rows {
+            era,
+            ..copy.0.clone()
+        };
         self.shared.1.notify_all();
     }
 
@@ -95,7 +101,10 @@
 
     fn respond(&self, writer: &Writer, status: u16, era: u64, body: &str) -> bool {
         let era = era.to_string();
-        let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+        let headers = [
+            ("Content-Type", "application/json"),
+            ("Store-Era", era.as_str()),
+        ];
         http::send(writer, &http::answer(status, &headers, body.as_bytes()))
     }
 
@@ -118,7 +127,10 @@
         let mut rows = self.shared.0.lock().expect("poisoned lock");
         let key = |row: &Json| (row.text("table"), row.text("key"));
         for expected in body.list("expectedRevision") {
-            let found = rows.rows.get(&key(expected)).filter(|(value, _)| value.is_some());
+            let found = rows
+                .rows
+                .get(&key(expected))
+                .filter(|(value, _)| value.is_some());
             let version = found.map_or(0, |(_, version)| *version);
             if version != expected.number("ver").unwrap_or(0.0) as u64 {
                 let era = rows.era;
@@ -187,7 +199,12 @@
                 );
                 return self.respond(writer, 200, era, &body);
             }
-            rows = self.shared.1.wait_timeout(rows, left).expect("poisoned lock").0;
+            rows = self
+                .shared
+                .1
+                .wait_timeout(rows, left)
+                .expect("poisoned lock")
+                .0;
         }
     }
 }
@@ -206,7 +223,9 @@
             Some(value) => format!("\"value\":\"{value}\""),
             None => "\"tombstone\":true".to_string(),
         };
-        format!("{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",\"ver\":{version},{content}}}")
+        format!(
+            "{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",\"ver\":{version},{content}}}"
+        )
     };
     found.into_iter().map(row).collect()
 }
--- a/review/standins/upgrade.rs
+++ b/review/standins/upgrade.rs
@@ -56,7 +56,10 @@
                     ("Prompt-Prefix", "5c1e07a2:800,91bd3f06:660"),
                 ];
                 let within = Duration::from_secs(5);
-                (id.clone(), http::call(&address, "POST", "/draft/x", &headers, b"wall", within))
+                (
+                    id.clone(),
+                    http::call(&address, "POST", "/draft/x", &headers, b"wall", within),
+                )
             })
         })
         .collect();
@@ -116,8 +119,17 @@
     }
     let runs = runs.lock().expect("poisoned lock");
     for run in runs.iter().filter(|r| r.after_event > 0) {
-        record.line(format!("{} went on at {} ({}) after event {}", run.id, run.engine, run.version, run.after_event));
+        record.line(format!(
+            "{} went on at {} ({}) after event {}",
+            run.id, run.engine, run.version, run.after_event
+        ));
+    }
+    record.line(format!(
+        "{whole} streams whole, {broken} broken off, {joined} joined from two versions"
+    ));
+    if joined > 2 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
     }
-    record.line(format!("{whole} streams whole, {broken} broken off, {joined} joined from two versions"));
-    if joined > 2 { Outcome::Broken } else { Outcome::Held }
 }
