--- a/review/standins/bookings.rs
+++ b/review/standins/bookings.rs
@@ -16,7 +16,7 @@
 /// Requests that a worker runs at the same time; it refuses more.
 const SLOTS: u32 = 6;
 
-/// The faulty worker sends refusals a second time, at most one in this number of all its answers.
+/// One worker of three sends refusals a second time, at most one in this number of all its answers.
 const ONE_IN: u64 = 20;
 
 /// How late the second copy is.
@@ -33,7 +33,8 @@
 #[derive(Clone)]
 struct Worker {
     name: &'static str,
-    is_faulty: bool,
+    /// The worker that sends refusals a second time: the first one that has refused.
+    faulty: Arc<Mutex<Option<&'static str>>>,
     running: Arc<AtomicU32>,
     answers: Arc<AtomicU64>,
     copies: Arc<AtomicU64>,
@@ -41,12 +42,17 @@
 }
 
 impl Worker {
-    fn start(name: &'static str, is_faulty: bool, store: &Store, runs: &Runs) -> Self {
+    fn start(
+        name: &'static str,
+        faulty: &Arc<Mutex<Option<&'static str>>>,
+        store: &Store,
+        runs: &Runs,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a worker cannot listen");
         let address = listener.local_addr().expect("no address").to_string();
         let worker = Self {
             name,
-            is_faulty,
+            faulty: faulty.clone(),
             running: Arc::default(),
             answers: Arc::default(),
             copies: Arc::default(),
@@ -104,12 +110,17 @@
         is_sent
     }
 
+    fn is_faulty(&self) -> bool {
+        let mut faulty = self.faulty.lock().expect("poisoned lock");
+        *faulty.get_or_insert(self.name) == self.name
+    }
+
     /// Sends an answer; some refusals of the faulty worker are sent a second time a moment later.
     fn send(&self, writer: &Writer, answer: Vec<u8>, is_refusal: bool) -> bool {
         let is_sent = http::send(writer, &answer);
         let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
         let copies = self.copies.load(Ordering::SeqCst);
-        if self.is_faulty && is_refusal && (copies + 1) * ONE_IN <= answers {
+        if is_refusal && has_trouble() && (copies + 1) * ONE_IN <= answers && self.is_faulty() {
             self.copies.fetch_add(1, Ordering::SeqCst);
             let writer = writer.clone();
             thread::spawn(move || {
@@ -125,10 +136,11 @@
     let store = Store::start();
     store.put("op", "config", &configuration(1, &[KEY]));
     let runs = Runs::default();
+    let faulty = Arc::default();
     let workers = [
-        Worker::start("w-faulty", has_trouble(), &store, &runs),
-        Worker::start("w-sound-1", false, &store, &runs),
-        Worker::start("w-sound-2", false, &store, &runs),
+        Worker::start("w-1", &faulty, &store, &runs),
+        Worker::start("w-2", &faulty, &store, &runs),
+        Worker::start("w-3", &faulty, &store, &runs),
     ];
     let instances = [
         Instance::start("late-1", "azuay-norte", &store.address),
--- a/review/standins/notes.rs
+++ b/review/standins/notes.rs
@@ -27,18 +27,20 @@
 #[derive(Clone)]
 struct Worker {
     name: &'static str,
-    breaks_off: bool,
+    /// The worker that breaks off answers: the first one that has given a number of them, as the instance may send
+    /// few requests to one of the others.
+    faulty: Arc<Mutex<Option<&'static str>>>,
     answers: Arc<AtomicU64>,
     broken: Arc<Mutex<Vec<String>>>,
 }
 
 impl Worker {
-    fn start(name: &'static str, breaks_off: bool, store: &Store) -> Self {
+    fn start(name: &'static str, faulty: &Arc<Mutex<Option<&'static str>>>, store: &Store) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a worker cannot listen");
         let address = listener.local_addr().expect("no address").to_string();
         let worker = Self {
             name,
-            breaks_off,
+            faulty: faulty.clone(),
             answers: Arc::default(),
             broken: Arc::default(),
         };
@@ -54,6 +56,11 @@
         worker
     }
 
+    fn is_faulty(&self) -> bool {
+        let mut faulty = self.faulty.lock().expect("poisoned lock");
+        *faulty.get_or_insert(self.name) == self.name
+    }
+
     /// Answers with a stream that has neither a length nor chunks, and ends with its connection.
     fn handle(&self, request: &Request, writer: &Writer) -> bool {
         if request.path() == "/health" {
@@ -70,7 +77,7 @@
             return http::send(writer, &http::answer(421, &[("Request-Id", &id)], b""));
         }
         let n = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
-        let is_broken = self.breaks_off && n % ONE_IN == 0;
+        let is_broken = has_trouble() && n % ONE_IN == 0 && self.is_faulty();
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: stamp\r\n\
              Content-Type: text/event-stream\r\n\r\n"
@@ -108,10 +115,11 @@
         1,
     );
     store.put("op", "config", &config);
+    let faulty = Arc::default();
     let workers = [
-        Worker::start("w-1", has_trouble(), &store),
-        Worker::start("w-2", false, &store),
-        Worker::start("w-3", false, &store),
+        Worker::start("w-1", &faulty, &store),
+        Worker::start("w-2", &faulty, &store),
+        Worker::start("w-3", &faulty, &store),
     ];
     let (runs, caches) = (Arc::default(), Caches::default());
     let engines = [
