Answers are matched to their request before anything in them is believed

Cause: check_answer believed a refusal, and a 421, before it compared the identifier. A late second copy of A's refusal counted as that of B, which ran. The connection went back into the pool with B's answer still to come, so that the next refusal on it was misplaced as well.

Evidence: a_second_copy_of_a_refusal_refuses_no_other_request and a_second_copy_of_a_refusal_makes_no_other_request_run_twice failed on (503 for a request that had run; a request that ran at both servers).

Change: attribution::check decides whose an answer is, for sends, control calls and relays, before status, refusal, load, limit or pause are used. A foreign answer means that the request may have run; JL1524 names both requests and the connection is closed.

--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -108,13 +108,15 @@
     RetryDenied = 1522,
     /// Records of streams were read from the store, for a stream that no instance knows.
     StreamsLoaded = 1523,
+    /// A backend server sent the answer of another request where this one's was expected.
+    ForeignAnswer = 1524,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 53] = [
+    pub const ALL: [Self; 54] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -167,6 +169,7 @@
         Self::RetryTaken,
         Self::RetryDenied,
         Self::StreamsLoaded,
+        Self::ForeignAnswer,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use crate::attribution;
 use crate::caller_request::{CallerRequest, remove_connection_headers};
 use crate::connection_pool::{Connection, RequestBody};
 use crate::context::Context;
@@ -115,6 +116,8 @@
     sender: Option<SendRequest<RequestBody>>,
     idle_timeout: Option<Duration>,
     in_flight: InFlight,
+    /// Identifier of the caller's request; `None` for a control call.
+    request_id: Option<SmolStr>,
     /// Ticket that was used for the send; `None` for a control call.
     ticket: Option<SendTicket>,
 }
@@ -242,6 +245,7 @@
             body,
             sender: (call.body.len() < LARGE_BODY_BYTES).then_some(sender),
             in_flight,
+            request_id: caller_send.map(|c| c.req.headers.request_id.clone()),
             ticket: None,
         };
         exchange.check_answer(cx, &head, caller_send, took).await
@@ -274,7 +278,8 @@
         result
     }
 
-    /// Checks that the answer belongs to this request, and records the outcome for the server.
+    /// Checks that the answer belongs to this request and can be used, and records what it says of the
+    /// server.
     async fn check_answer(
         mut self,
         cx: &Rc<Context>,
@@ -284,6 +289,11 @@
     ) -> Result<Self, SendError> {
         let server = self.server;
         let now = cx.now();
+        if let Err(error) = attribution::check(head, self.request_id.as_ref()) {
+            cx.record_outcome(server, CallOutcome::Broken);
+            attribution::log_foreign(cx, server, self.status, head, self.request_id.as_ref());
+            return Err(error);
+        }
         if let Some(load) = head.load {
             let mut state = cx.state.borrow_mut();
             if let Some(s) = state.pool.get_mut(server) {
@@ -294,15 +304,11 @@
             cx.record_outcome(server, CallOutcome::Unresponsive);
             return Err(SendError::NotRun("another server has the address"));
         }
-        let is_answer =
-            caller_send.is_none_or(|c| head.request_id.as_ref() == Some(&c.req.headers.request_id));
-        if is_answer {
-            let sent_at = now.saturating_sub(took);
-            server_limits::record(cx, server, sent_at, &head.limit);
-            pauses::record(cx, server, sent_at, &head.pause);
-            if head.is_leaving {
-                departures::record(cx, server);
-            }
+        let sent_at = now.saturating_sub(took);
+        server_limits::record(cx, server, sent_at, &head.limit);
+        pauses::record(cx, server, sent_at, &head.pause);
+        if head.is_leaving {
+            departures::record(cx, server);
         }
         if head.is_not_run {
             cx.record_outcome(server, CallOutcome::NoCapacity);
@@ -314,10 +320,6 @@
         let Some(caller_send) = caller_send else {
             return Ok(self);
         };
-        if head.request_id.as_ref() != Some(&caller_send.req.headers.request_id) {
-            cx.record_outcome(server, CallOutcome::Broken);
-            return Err(SendError::Lost("answer of another request"));
-        }
         if implies_not_run(self.status) {
             cx.record_outcome(server, CallOutcome::ServerError);
             return Err(SendError::Lost("refusal that does not say it was not run"));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod adapter;
 mod admission;
 mod answer;
+mod attribution;
 mod backoff;
 mod caller_request;
 mod callers;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 
 use crate::EventCode;
 use crate::answer::{AnswerBody, ChunkStream, IncompleteBody, OUT_OF_REACH, Verdict};
+use crate::attribution;
 use crate::caller_request::CallerRequest;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::context::Context;
@@ -268,6 +269,8 @@
     let exchange = exchange(cx, req, address, attempts);
     let (response, connection) = timeout(within, exchange).await.unwrap_or(Err(TIMED_OUT))?;
     let (parts, body) = response.into_parts();
+    let head = (cx.adapter.servers.decode_head)(parts.status, &parts.headers);
+    attribution::check(&head, Some(&req.headers.request_id))?;
     let is_unreached = parts.headers.contains_key(UNREACHED_HEADER);
     let answer = RelayedAnswer {
         cx: cx.clone(),
