A silent run is kept until another engine has accepted the request, however late

Cause: hand_over dropped the silent run 250 ms after the request was sent to another engine, which had not accepted it and refused it later; it did not look at the silent run meanwhile, which had gone on.

Evidence: a_stream_stays_at_its_silent_engine_if_the_other_one_refuses_it_late and a_stream_stays_at_its_engine_that_goes_on_before_the_other_one_answers failed on (no event or a part of them).

Change: progress_of holds the run and the sends to other engines together; the first one to be heard keeps the request. A run that fails beside a send no longer ends that send. Engines that fail it are checked for a crash.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -320,27 +320,40 @@
         before
     }
 
-    /// Undoes the start of a search: the silent engine has the request as before.
-    pub fn end_search(&mut self, silent: ServerKey, before: Search) {
+    /// Undoes the start of a search: the silent engine has the request as before. Returns what the
+    /// search has changed.
+    pub fn end_search(&mut self, silent: ServerKey, before: Search) -> Search {
         self.is_repeated_search = false;
-        (self.since, self.steps) = (before.since, before.steps);
         self.avoid.retain(|server| *server != silent);
         self.possible_runs -= 1;
+        let ended = Search {
+            since: self.since,
+            steps: StepTimes {
+                prefilled: self.cx.now(),
+                ..self.steps
+            },
+        };
+        (self.since, self.steps) = (before.since, before.steps);
+        ended
     }
 
-    /// Leaves a server out that did not accept the request, and counts its run if there may have been
-    /// one.
-    pub fn exclude_after(&mut self, server: ServerKey, error: SendError) {
+    /// Leaves a server out to which the request is sent beside another one, and counts its run.
+    pub fn exclude(&mut self, server: ServerKey) {
         self.avoid.push(server);
-        if error.may_have_run() {
-            self.possible_runs += 1;
-        }
+        self.possible_runs += 1;
+    }
+
+    /// Records that a server which is left out has not run the request.
+    pub fn record_not_run(&mut self) {
+        self.possible_runs -= 1;
     }
 
-    /// Records that a decode is being sent now; returns the time.
-    pub fn start_send(&mut self) -> Duration {
-        self.steps.prefilled = self.cx.now();
-        self.steps.prefilled
+    /// Goes over from the run at an engine to the one at its successor, which a search has found.
+    pub fn replace_run(&mut self, left: ServerKey, successor: ServerKey, search: Search) {
+        self.record_failure(left);
+        self.avoid.retain(|server| *server != successor);
+        self.possible_runs -= 1;
+        (self.since, self.steps) = (search.since, search.steps);
     }
 
     /// Whether the stream has begun.
@@ -375,19 +388,19 @@
             let (server, version) = prepared.engine();
             let sent_at = self.cx.now();
             self.steps.prefilled = sent_at;
-            let (server, error) = match self.await_decode(prepared, ticket, last_event).await {
-                Progress::Made((prepared, Ok(exchange))) => {
+            let error = match self.await_decode(prepared, ticket, last_event).await {
+                Progress::Made((prepared, exchange)) => {
                     return Ok(prepared.into_run(exchange, sent_at, version));
                 }
-                Progress::Made((_, Err(error))) => (server, error),
-                Progress::Replaced(decode) => {
-                    log_send_failure(&self.cx, &self.req, server, TIMED_OUT);
+                Progress::Failed(error) => error,
+                Progress::Replaced(decode, failure) => {
+                    let error = failure.unwrap_or(TIMED_OUT);
+                    log_send_failure(&self.cx, &self.req, server, error);
+                    if failure.is_some_and(SendError::may_have_run) {
+                        self.check_for_crash(server, sent_at, error);
+                    }
                     return Ok(*decode);
                 }
-                Progress::Failed(other, error) => {
-                    log_send_failure(&self.cx, &self.req, server, TIMED_OUT);
-                    (other, error)
-                }
                 Progress::TimedOut => return Err(Verdict::timed_out()),
             };
             log_send_failure(&self.cx, &self.req, server, error);
@@ -403,7 +416,7 @@
         mut prepared: PreparedDecode,
         ticket: SendTicket,
         last_event: Option<u64>,
-    ) -> Progress<(PreparedDecode, Result<Exchange, SendError>)> {
+    ) -> Progress<(PreparedDecode, Exchange)> {
         let (cx, req, server) = (
             self.cx.clone(),
             self.req.clone(),
@@ -412,14 +425,14 @@
         let patience = head_timeout(&req);
         let sending = async move {
             let sent = send_decode(&cx, &req, &mut prepared, ticket, last_event).await;
-            (prepared, sent)
+            sent.map(|exchange| (prepared, exchange))
         };
         match self.may_replace_run() {
             true => {
                 self.progress_of(server, patience, last_event, sending)
                     .await
             }
-            false => Progress::Made(sending.await),
+            false => Progress::of(sending.await),
         }
     }
 
@@ -454,13 +467,7 @@
         }
         if error.may_have_run() {
             self.record_failure(server);
-            let run = BrokenRun {
-                server,
-                cause: error,
-                sent_at: self.steps.prefilled,
-                answer_began_at: None,
-            };
-            suspects::check_for_crash(&self.cx, run, &self.req);
+            self.check_for_crash(server, self.steps.prefilled, error);
             if !self.may_retry() {
                 return Err(Verdict::lost("engine gave no answer"));
             }
@@ -470,6 +477,17 @@
         Ok(())
     }
 
+    /// Checks whether an engine that has not begun to answer the request has crashed.
+    pub fn check_for_crash(&self, server: ServerKey, sent_at: Duration, cause: SendError) {
+        let run = BrokenRun {
+            server,
+            cause,
+            sent_at,
+            answer_began_at: None,
+        };
+        suspects::check_for_crash(&self.cx, run, &self.req);
+    }
+
     /// Returns the verdict for a request that is given up: not run, unless an earlier round may
     /// have run it.
     fn refusal(&self, reason: &'static str) -> Verdict {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod stream_origins;
 mod stream_record;
 mod stream_records;
+mod successors;
 mod suspects;
 mod table_sync;
 mod table_updates;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -109,35 +109,27 @@
             };
             let left = EndedRun::of(&decode);
             let result = match self.receive(decode).await {
-                Progress::Made((decode, Ok(Some(events)))) => {
+                Progress::Made((decode, Some(events))) => {
                     self.decode = Some(decode);
                     return Some(Ok(self.forward(events)));
                 }
-                Progress::Made((decode, Ok(None))) => {
+                Progress::Made((decode, None)) => {
                     self.decode = Some(decode);
                     self.record_proof();
                     self.record.set_outcome("whole");
                     return None;
                 }
-                Progress::Made((decode, Err(error))) => {
-                    // The failed run must not continue in parallel with the next one.
-                    drop(decode);
+                Progress::Failed(error) => {
                     self.record_end(left, error);
                     self.generation.record_failure(left.server);
                     self.resume(error).await
                 }
-                Progress::Replaced(decode) => {
-                    self.record_end(left, SILENT_ENGINE);
-                    self.go_on(*decode, SILENT_ENGINE);
+                Progress::Replaced(decode, failure) => {
+                    let error = failure.unwrap_or(SILENT_ENGINE);
+                    self.record_end(left, error);
+                    self.go_on(*decode, error);
                     Ok(())
                 }
-                Progress::Failed(server, error) => {
-                    self.record_end(left, SILENT_ENGINE);
-                    let sent_at = self.generation.cx().now();
-                    self.record_end(EndedRun { server, sent_at }, error);
-                    self.generation.exclude_after(server, error);
-                    self.resume(error).await
-                }
                 Progress::TimedOut => {
                     self.record_end(left, TIMED_OUT);
                     Err(IncompleteBody(TIMED_OUT.reason().into()))
@@ -158,16 +150,17 @@
         let generation = &mut self.generation;
         let left = generation.req().time_left(generation.cx().now());
         let splitter = &mut self.events;
+        // A run that fails is dropped: it must not continue in parallel with the next one.
         let events = async move {
-            let events = next_events(&mut decode.exchange, splitter).await;
-            (decode, events)
+            let events = next_events(&mut decode.exchange, splitter).await?;
+            Ok((decode, events))
         };
         if can_resume && generation.may_replace_run() {
             let progress = generation.progress_of(server, patience, last_event, events);
             return progress.await;
         }
         match timeout(left, events).await {
-            Ok(made) => Progress::Made(made),
+            Ok(made) => Progress::of(made),
             Err(_) => Progress::TimedOut,
         }
     }
@@ -296,7 +289,7 @@
 }
 
 /// Complete events of a run; `None` at its end.
-type Events = Result<Option<Vec<StreamEvent>>, SendError>;
+type Events = Option<Vec<StreamEvent>>;
 
 /// A run that has ended.
 #[derive(Clone, Copy, Debug)]
@@ -317,7 +310,10 @@
 
 /// Returns the next complete events of a run; `None` at its end. Bytes that complete no event are no
 /// progress.
-async fn next_events(exchange: &mut Exchange, splitter: &mut EventSplitter) -> Events {
+async fn next_events(
+    exchange: &mut Exchange,
+    splitter: &mut EventSplitter,
+) -> Result<Events, SendError> {
     loop {
         let Some(chunk) = exchange.next_chunk().await else {
             return match splitter.has_partial() {
