A stream of a service without engines that ends inside an event is not complete

Cause: on stream routes, requests to services without engines take the path of plain calls, which takes what came before the end of the connection for the answer. Only the path of engines looked at events.

Change: a successful answer on a stream route must consist of complete events, by the splitter that engines' streams use, also through another instance. A stream that may be resumed runs again at another server; its caller has seen nothing yet.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -8,7 +8,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, Response, StatusCode};
-use jacinthlever_routing::{PickParams, RouteKind, ServerKey};
+use jacinthlever_routing::{CallOutcome, PickParams, RouteKind, ServerKey, is_whole_stream};
 use tokio::time::sleep;
 
 use crate::ServerHeaders;
@@ -22,6 +22,7 @@
 use crate::reach;
 use crate::relay::{self, NO_RELAY};
 use crate::sends::SendTicket;
+use crate::stream::BROKEN_OFF;
 use crate::suspects::{self, BrokenRun};
 
 /// Multiple of the latency target after which an idempotent request is also sent to a second
@@ -43,6 +44,21 @@
     is_from_server: bool,
 }
 
+impl FullResponse {
+    /// Checks that a stream has not been broken off: only its events tell, unless the answer states its
+    /// length.
+    ///
+    /// # Errors
+    /// Fails if the stream ends inside an event.
+    fn check_whole(self, req: &CallerRequest) -> Result<Self, SendError> {
+        let is_stream = req.route.kind == RouteKind::Stream && self.status.is_success();
+        match !is_stream || is_whole_stream(&self.body) {
+            true => Ok(self),
+            false => Err(BROKEN_OFF),
+        }
+    }
+}
+
 /// The result of an attempt, with its server; `None` if another instance has made it.
 type Attempt = LocalBoxFuture<'static, (Option<ServerKey>, Result<FullResponse, SendError>)>;
 
@@ -109,6 +125,13 @@
         self.req.route.kind == RouteKind::Safe
     }
 
+    /// Whether the request may run again after a run that has brought no whole answer, of which the
+    /// caller has seen nothing.
+    fn may_run_again(&self) -> bool {
+        let route = &self.req.route;
+        self.is_idempotent() || (route.kind == RouteKind::Stream && route.is_resumable)
+    }
+
     /// Sends the request to another server, or passes it on to another instance if no server is
     /// reached from here; returns whether that was possible and allowed.
     ///
@@ -117,8 +140,8 @@
     /// quota meanwhile.
     fn start_attempt(&mut self) -> Result<bool, Verdict> {
         let sends = self.possible_runs + self.attempts.len() as u32;
-        let may_repeat = self.is_idempotent() || sends == 0;
-        if !may_repeat
+        let may_send = self.may_run_again() || sends == 0;
+        if !may_send
             || sends >= self.req.route.max_attempts.max(1)
             || self.last_error == Some(KEY_REVOKED)
         {
@@ -280,11 +303,14 @@
     };
     let (status, headers) = (exchange.status, exchange.headers.clone());
     let body = exchange.read_body(MAX_ANSWER_BYTES).await?;
-    Ok(FullResponse {
+    let response = FullResponse {
         status,
         headers,
         body,
         is_from_server: true,
+    };
+    response.check_whole(req).inspect_err(|_| {
+        cx.record_outcome(server, CallOutcome::Broken);
     })
 }
 
@@ -307,10 +333,11 @@
     if !is_from_server && implies_not_run(answer.status) {
         req.may_have_run.set(previous);
     }
-    Ok(FullResponse {
+    let response = FullResponse {
         status: answer.status,
         headers: answer.headers.clone(),
         is_from_server,
         body: answer.read_body().await?,
-    })
+    };
+    response.check_whole(req)
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,6 +30,9 @@
 /// The engine sent no event for too long.
 pub const SILENT_ENGINE: SendError = SendError::Lost("engine is silent");
 
+/// A stream ends inside an event.
+pub const BROKEN_OFF: SendError = SendError::Lost("event ended early");
+
 /// Forwarding task of one stream to a caller.
 pub struct StreamForwarder {
     generation: Generation,
@@ -317,7 +320,7 @@
     loop {
         let Some(chunk) = exchange.next_chunk().await else {
             return match splitter.has_partial() {
-                true => Err(SendError::Lost("event ended early")),
+                true => Err(BROKEN_OFF),
                 false => Ok(None),
             };
         };
--- a/crates/routing/src/event_stream.rs
+++ b/crates/routing/src/event_stream.rs
@@ -47,6 +47,17 @@
     }
 }
 
+/// Size of the pieces in which a complete body is split, in bytes.
+const PIECE_BYTES: usize = 4096;
+
+/// Whether a body consists of complete events. One that ends inside an event has been broken off, even
+/// if its connection ended in order.
+pub fn is_whole_stream(body: &[u8]) -> bool {
+    let mut splitter = EventSplitter::default();
+    let mut pieces = body.chunks(PIECE_BYTES);
+    pieces.all(|piece| splitter.push(piece).is_some()) && !splitter.has_partial()
+}
+
 /// Returns the position after the first blank line whose preceding line ends at or after `from`.
 /// Lines end with LF or CR LF.
 fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -43,7 +43,7 @@
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
 };
 pub use customer_charges::CustomerCharges;
-pub use event_stream::{EventSplitter, StreamEvent};
+pub use event_stream::{EventSplitter, StreamEvent, is_whole_stream};
 pub use forwarding::{Forwarding, ForwardingGroup};
 pub use membership::{
     Delegate, DigestOutcome, KEEPERS, LostServices, Member, MemberStatus, Membership,
