An instance that may be out of step reads the list of versions before it infers one

Cause: a stream of which no instance knows went on at the only version that this instance had heard of, however old that was.

Change: the list of versions is read from the store by a read that begins after the request has come. No stream begins at a version that is not listed. Without an answer the request is refused with Retry-After.

Streams that are taken up while the store is away, and of which neither this instance nor a keeper knows, are refused now; before they went on.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -16,6 +16,7 @@
 use crate::state::State;
 use crate::stream_origins::OriginCalls;
 use crate::stream_records::RecordReader;
+use crate::version_notes::ListReader;
 use crate::zone_news::ZoneNews;
 use crate::{Adapter, Clock, EventCode, EventLog, Settings, metrics::Metrics};
 
@@ -52,6 +53,8 @@
     pub origin_calls: OriginCalls,
     /// Reader of the records of streams in the store.
     pub record_reader: RecordReader,
+    /// Reader of the list of versions in the store, for streams of which no instance knows.
+    pub version_list: ListReader,
     /// Highest era that the store has named; `None` before its first answer.
     pub store_era: Cell<Option<u64>>,
     /// Era of the store, for tasks that write rows again after it has come back from a copy. A task
@@ -115,6 +118,7 @@
             permits: Permits::new(incarnation << CALL_NUMBER_BITS),
             origin_calls: OriginCalls::new(incarnation << CALL_NUMBER_BITS),
             record_reader: RecordReader::default(),
+            version_list: ListReader::default(),
             urgent_news: Notify::new(),
             zone_news: RefCell::default(),
             zone_news_added: Notify::new(),
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -278,20 +278,15 @@
         headers.resumes.is_some() || headers.last_event.is_some()
     }
 
-    /// Returns the version that began a stream which the caller takes up. If nothing is known of the
-    /// stream, it is the version of all engines.
+    /// Returns the version that began a stream which the caller takes up.
+    ///
+    /// # Errors
+    /// Returns a refusal if it is not known.
     async fn find_version(&self) -> Result<SmolStr, Verdict> {
-        if let Some(attempt) = &self.req.headers.resumes
-            && let Some(version) = stream_origins::find(&self.cx, &self.req.service, attempt).await
-        {
-            return Ok(version);
-        }
-        let state = self.cx.state.borrow();
-        let mut versions = state.pool.versions(&self.req.service).into_iter();
-        match (versions.next(), versions.next()) {
-            (Some(only), None) if state.pool.knows_versions() => Ok(only.clone()),
-            _ => Err(self.refusal("version that began the stream is not known")),
-        }
+        let attempt = self.req.headers.resumes.as_ref();
+        stream_origins::find(&self.cx, &self.req.service, attempt)
+            .await
+            .ok_or_else(|| self.refusal("version that began the stream is not known"))
     }
 
     /// Records that the first event of the stream came from an engine of a version.
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -17,6 +17,7 @@
 use crate::context::Context;
 use crate::peers::Message;
 use crate::stream_records;
+use crate::version_notes;
 
 /// Number of instances that are asked for a stream. More than [`KEEPERS`], since instances that do not
 /// have the same registrations disagree on the keepers.
@@ -124,9 +125,14 @@
     }
 }
 
-/// Returns the version that began the stream whose first event an attempt brought, as this instance
-/// or the first of the keepers that answers knows it, or else the store; `None` if none does.
-pub async fn find(cx: &Rc<Context>, service: &str, attempt: &str) -> Option<SmolStr> {
+/// Returns the version that began a stream of a service that a caller takes up, given the attempt that
+/// brought its first event if the caller names it: as this instance or the first of the keepers that
+/// answers knows it, or else the store. A stream of which nobody knows began at the version of all
+/// engines, if there is only one. `None` if that cannot be said.
+pub async fn find(cx: &Rc<Context>, service: &str, attempt: Option<&SmolStr>) -> Option<SmolStr> {
+    let Some(attempt) = attempt else {
+        return only_version(cx, service).await;
+    };
     let stream = stream_id(attempt);
     let (known, keepers) = {
         let state = cx.state.borrow();
@@ -137,6 +143,9 @@
         return known;
     }
     let mut found = ask(cx, stream, &keepers).await;
+    if found.is_none() {
+        found = only_version(cx, service).await;
+    }
     if found.is_none() && cx.state.borrow().pool.is_mixed(service) {
         found = find_in_store(cx, stream).await;
     }
@@ -148,7 +157,7 @@
     cx.log(
         EventCode::OriginAsked,
         [
-            ("attempt", attempt.into()),
+            ("attempt", attempt.as_str().into()),
             ("asked", keepers.len().into()),
             ("version", found.as_deref().into()),
         ],
@@ -156,6 +165,24 @@
     found
 }
 
+/// Returns the version of all engines of a service at which a stream may have begun; `None` if there are
+/// several, or if this instance may not have heard of another one yet.
+async fn only_version(cx: &Rc<Context>, service: &str) -> Option<SmolStr> {
+    if !cx.state.borrow().pool.is_mixed(service) {
+        let confirmed = timeout(STORE_TIMEOUT, version_notes::confirm(cx)).await;
+        if !matches!(confirmed, Ok(Ok(()))) {
+            log::debug!("list of the versions of {service} not read, or not in time");
+            return None;
+        }
+    }
+    let state = cx.state.borrow();
+    let mut versions = state.pool.versions(service).into_iter();
+    match (versions.next(), versions.next()) {
+        (Some(only), None) if state.pool.knows_versions() => Some(only.clone()),
+        _ => None,
+    }
+}
+
 async fn find_in_store(cx: &Rc<Context>, stream: StreamId) -> Option<SmolStr> {
     match timeout(STORE_TIMEOUT, stream_records::load(cx)).await {
         Ok(Ok(())) => {}
--- a/crates/gateway/src/version_notes.rs
+++ b/crates/gateway/src/version_notes.rs
@@ -8,6 +8,7 @@
 use jacinthlever_routing::Versions;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use tokio::sync::Mutex;
 use tokio::time::sleep;
 
 use crate::backoff::Backoff;
@@ -36,6 +37,33 @@
     versions: BTreeSet<SmolStr>,
 }
 
+/// Reader of the list for streams of which no instance knows.
+#[derive(Default)]
+pub struct ListReader {
+    /// The client, and when the last successful read began.
+    reads: Mutex<(Option<StoreClient>, Option<Duration>)>,
+}
+
+/// Reads the list again, since engines of a version may have joined of which this instance has not heard:
+/// it may have been cut off from its peers, or its process may have stood still. No stream has begun by
+/// now at a version that the list lacks. Calls that arrive during a read share the next one.
+///
+/// # Errors
+/// Fails if the store does not answer.
+pub async fn confirm(cx: &Rc<Context>) -> Result<(), StoreError> {
+    let asked_at = cx.now();
+    let mut reads = cx.version_list.reads.lock().await;
+    let (client, last) = &mut *reads;
+    if last.is_some_and(|began| began > asked_at) {
+        return Ok(());
+    }
+    let began = cx.now();
+    let client = client.get_or_insert_with(|| StoreClient::new(cx.clone(), "origins"));
+    read(cx, client).await?;
+    *last = Some(began);
+    Ok(())
+}
+
 /// Keeps the list in the store up to date; runs until the process ends.
 pub async fn run(cx: Rc<Context>) {
     let mut client = StoreClient::new(cx.clone(), "versions");
