An instance that is stopping turns away requests that others pass on

Cause: a stopping instance took relayed requests as long as its listener for peers was open, and no peer knew that it was stopping.

Evidence: no_request_is_passed_on_to_an_instance_that_is_stopping failed before (the stopping instance sent such a request to a server).

Change: it refuses them with the header that says that it cannot send them, which builds since the first relays understand: nothing has run, and the sender tries the next instance.

Measured: that test passes.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use crate::CallerHeaders;
-use crate::answer::{OLDER_CONFIG, Verdict};
+use crate::answer::{OLDER_CONFIG, STOPPING, Verdict};
 use crate::caller_request::{CallerRequest, fingerprint, remove_connection_headers};
 use crate::charge::Charge;
 use crate::context::Context;
@@ -99,6 +99,9 @@
     summary: &mut RequestSummary,
 ) -> Result<CallerRequest, Verdict> {
     let arrived = summary.arrived;
+    if relayed.is_some() && cx.state.borrow().is_draining {
+        return Err(Verdict::unavailable(STOPPING, RETRY_AFTER_UNVERIFIED));
+    }
     let in_force = cx.state.borrow().config.as_ref().map(|c| c.version);
     if relayed.is_some_and(|relayed| in_force.unwrap_or(0) < relayed.config) {
         return Err(Verdict::unavailable(OLDER_CONFIG, RETRY_AFTER_UNVERIFIED));
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -21,6 +21,9 @@
 /// Reason for refusing a relayed request: the sender has a newer configuration.
 pub const OLDER_CONFIG: &str = "configuration is older than the sender's";
 
+/// Reason for refusing a relayed request: this instance is stopping.
+pub const STOPPING: &str = "instance is stopping";
+
 /// The error of a body that ended before it was complete; holds the cause.
 #[derive(Clone, Debug)]
 pub struct IncompleteBody(pub SmolStr);
@@ -199,7 +202,7 @@
 
     /// Whether the request has not run since this instance cannot send it, while another one may.
     pub fn is_unreached(&self) -> bool {
-        let reasons = [NO_CONNECTION.reason(), OUT_OF_REACH, OLDER_CONFIG];
+        let reasons = [NO_CONNECTION.reason(), OUT_OF_REACH, OLDER_CONFIG, STOPPING];
         matches!(self, Self::NotRun { reason, .. } if reasons.contains(reason))
     }
 
