A stream that was passed on goes on when the instance that sends it ends

Cause: the instance that passed a stream on forwarded it as bytes, and could not go on with it when the other one exited.

Change: a relayed stream is a run of the forwarder like one at an engine. After a failure the stream goes on after its last event, through another instance or at an engine of the version that began it, within attempts and budget.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -26,6 +26,9 @@
     pub decode_headers: fn(&HeaderMap) -> Result<CallerHeaders, DecodeError>,
     /// Sets the time for which the sender of a request waits for the answer.
     pub set_timeout: fn(&mut HeaderMap, Duration),
+    /// Sets the attempt that brought the first event of a stream, and the last event that the sender of a
+    /// request has received of it.
+    pub set_position: fn(&mut HeaderMap, &SmolStr, u64),
     /// Path at which callers request the addresses of instances.
     pub directory_path: &'static str,
     /// Encodes the answer with addresses, and the time for which callers may cache them.
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -72,7 +72,7 @@
     Sent = 1504,
     /// Sending a request to a backend server failed, or there was no usable answer.
     SendFailed = 1505,
-    /// A stream has resumed at another engine after a failure.
+    /// A stream has resumed at another engine, or through another instance, after a failure.
     Resumed = 1506,
     /// A caller disconnected before it got an answer.
     CallerLeft = 1507,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use jacinthlever_routing::{
     CallOutcome, CapacityPolicy, EngineRole, EngineSpec, PickParams, ServerKey,
 };
@@ -32,6 +32,7 @@
 use crate::sends::{BUDGET_SPENT, SendTicket};
 use crate::stream::StreamForwarder;
 use crate::stream_origins;
+use crate::stream_run::StreamRun;
 use crate::suspects::{self, BrokenRun};
 use crate::{EventCode, ServerHeaders};
 
@@ -198,19 +199,21 @@
     };
     let (status, headers) = (decode.exchange.status, decode.exchange.headers.clone());
     let body = if status.is_success() {
-        AnswerBody::streamed(
-            StreamForwarder::start(generation, decode)
-                .await?
-                .into_chunks(),
-        )
+        generation
+            .stream(StreamRun::Engine(Box::new(decode)))
+            .await?
     } else {
         let body = decode.exchange.read_body(MAX_ANSWER_BYTES).await;
         AnswerBody::full(body.map_err(|error| Verdict::lost(error.reason()))?)
     };
+    Ok(response(status, headers, body))
+}
+
+fn response(status: StatusCode, headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    Ok(response)
+    response
 }
 
 impl Generation {
@@ -228,7 +231,43 @@
     /// Passes the request on to another instance.
     async fn pass_on(self) -> Result<Response<AnswerBody>, Verdict> {
         relay::withdraw(&self.cx, &self.req);
-        relay::answer_generation(&self.cx, &self.req).await
+        let attempts = self.req.route.max_attempts;
+        let answer = relay::send_generation(&self.cx, &self.req, attempts, None).await?;
+        let (status, headers) = (answer.status, answer.headers.clone());
+        let body = if status.is_success() {
+            self.stream(StreamRun::Relayed(Box::new(answer))).await?
+        } else {
+            let body = answer.read_body().await;
+            AnswerBody::full(body.map_err(|error| Verdict::lost(error.reason()))?)
+        };
+        Ok(response(status, headers, body))
+    }
+
+    /// Forwards the events of a run, once the first has arrived.
+    async fn stream(self, run: StreamRun) -> Result<AnswerBody, Verdict> {
+        let forwarder = StreamForwarder::start(self, run).await?;
+        Ok(AnswerBody::streamed(forwarder.into_chunks()))
+    }
+
+    /// Starts a run that goes on after `last_event`: through another instance if this one reaches no
+    /// engine, or else at an engine of the version that began the stream.
+    ///
+    /// # Errors
+    /// Returns a verdict that says whether the request may have run.
+    pub async fn start_next_run(&mut self, last_event: Option<u64>) -> Result<StreamRun, Verdict> {
+        if relay::is_possible(&self.cx, &self.req) {
+            let attempts = self.req.route.max_attempts.max(1) - self.possible_runs;
+            let sent = relay::send_generation(&self.cx, &self.req, attempts, last_event);
+            return Ok(StreamRun::Relayed(Box::new(sent.await?)));
+        }
+        if last_event.is_some() && self.version.is_none() {
+            let attempt = self.req.headers.first_attempt();
+            let version = stream_origins::find(&self.cx, &self.req.service, Some(attempt));
+            let version = version.await.ok_or_else(|| self.unknown_version())?;
+            self.version = Some(version);
+        }
+        let decode = self.start_decode(last_event).await?;
+        Ok(StreamRun::Engine(Box::new(decode)))
     }
 
     /// Returns the context of the instance.
@@ -286,7 +325,11 @@
         let attempt = self.req.headers.resumes.as_ref();
         stream_origins::find(&self.cx, &self.req.service, attempt)
             .await
-            .ok_or_else(|| self.refusal("version that began the stream is not known"))
+            .ok_or_else(|| self.unknown_version())
+    }
+
+    fn unknown_version(&self) -> Verdict {
+        self.refusal("version that began the stream is not known")
     }
 
     /// Records that the first event of the stream came from an engine of a version.
@@ -298,8 +341,13 @@
 
     /// Records that a server failed the request and may have run it.
     pub fn record_failure(&mut self, server: ServerKey) {
-        self.since = self.cx.now();
         self.avoid.push(server);
+        self.record_lost_run();
+    }
+
+    /// Records that a run of the request was lost.
+    pub fn record_lost_run(&mut self) {
+        self.since = self.cx.now();
         self.possible_runs += 1;
         self.req.may_have_run.set(true);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod stream_origins;
 mod stream_record;
 mod stream_records;
+mod stream_run;
 mod successors;
 mod suspects;
 mod table_sync;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -17,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::EventCode;
-use crate::answer::{AnswerBody, ChunkStream, IncompleteBody, OUT_OF_REACH, Verdict};
+use crate::answer::{OUT_OF_REACH, Verdict};
 use crate::attribution;
 use crate::caller_request::CallerRequest;
 use crate::connection_pool::{Connection, ConnectionPool};
@@ -106,13 +105,14 @@
 pub struct RelayedAnswer {
     cx: Rc<Context>,
     req: Rc<CallerRequest>,
-    address: SmolStr,
+    /// Address of the instance.
+    pub address: SmolStr,
     /// Status of the answer.
     pub status: StatusCode,
     /// Headers that are forwarded to the caller.
     pub headers: HeaderMap,
     body: Incoming,
-    connection: Connection,
+    connection: Option<Connection>,
     idle_timeout: Option<Duration>,
 }
 
@@ -140,7 +140,7 @@
 
 /// Sends a request to another instance and waits for the head of its answer; one that is `safe` is
 /// sent to a further instance if that one fails. `attempts` is the number of servers that may run it,
-/// `tickets` are those for the first instance.
+/// `tickets` are those for the first instance. A stream goes on after `last_event`, if that is given.
 ///
 /// # Errors
 /// Returns an error that says whether a backend server may have run the request.
@@ -149,6 +149,7 @@
     req: &Rc<CallerRequest>,
     mut attempts: u32,
     tickets: Vec<SendTicket>,
+    last_event: Option<u64>,
 ) -> Result<RelayedAnswer, SendError> {
     let is_repeatable = req.route.kind == RouteKind::Safe;
     let mut tried = Vec::new();
@@ -167,7 +168,7 @@
             false => attempts,
         };
         tickets.iter().for_each(SendTicket::record_use);
-        match send_to(cx, req, &address, granted).await {
+        match send_to(cx, req, &address, granted, last_event).await {
             // An instance that refuses knows nothing of what another one has sent before.
             Ok(answer) if last.may_have_run() && !answer.is_from_server() => return Err(last),
             Ok(answer) => return Ok(answer),
@@ -195,42 +196,32 @@
     Err(last)
 }
 
-/// Passes a generation on and returns the answer; the body of a stream is forwarded as it arrives.
+/// Passes a generation on, which up to `attempts` servers may run, and returns the head of the answer. A
+/// stream that has begun goes on after `last_event`.
 ///
 /// # Errors
 /// Returns a verdict that says whether the request may have run.
-pub async fn answer_generation(
+pub async fn send_generation(
     cx: &Rc<Context>,
     req: &Rc<CallerRequest>,
-) -> Result<Response<AnswerBody>, Verdict> {
-    let tickets = req
-        .sends
-        .relay_tickets()
-        .ok_or_else(|| match req.may_have_run.get() {
-            true => Verdict::lost(BUDGET_SPENT),
-            false => Verdict::unavailable(BUDGET_SPENT, retry_after(cx)),
-        })?;
-    req.may_have_run.set(true);
-    let sent = send(cx, req, req.route.max_attempts, tickets).await;
-    let answer = sent.map_err(|error| {
-        req.may_have_run.set(error.may_have_run());
-        match error.may_have_run() {
-            true if error == TIMED_OUT => Verdict::timed_out(),
-            true => Verdict::lost(error.reason()),
-            false => Verdict::unavailable(error.reason(), retry_after(cx)),
-        }
-    })?;
-    let (status, headers) = (answer.status, answer.headers.clone());
-    let body = if status.is_success() {
-        AnswerBody::streamed(answer.into_chunks())
-    } else {
-        let body = answer.read_body().await;
-        AnswerBody::full(body.map_err(|error| Verdict::lost(error.reason()))?)
+    attempts: u32,
+    last_event: Option<u64>,
+) -> Result<RelayedAnswer, Verdict> {
+    let refusal = |reason| match req.may_have_run.get() {
+        true => Verdict::lost(reason),
+        false => Verdict::unavailable(reason, retry_after(cx)),
     };
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    Ok(response)
+    let tickets = req.sends.relay_tickets();
+    let tickets = tickets.ok_or_else(|| refusal(BUDGET_SPENT))?;
+    let before = req.may_have_run.replace(true);
+    let sent = send(cx, req, attempts, tickets, last_event).await;
+    sent.map_err(|error| {
+        req.may_have_run.set(before || error.may_have_run());
+        match error {
+            TIMED_OUT => Verdict::timed_out(),
+            _ => refusal(error.reason()),
+        }
+    })
 }
 
 /// Returns the time after which a caller may retry a request that no instance can serve.
@@ -258,6 +249,7 @@
     req: &Rc<CallerRequest>,
     address: &SmolStr,
     attempts: u32,
+    last_event: Option<u64>,
 ) -> Result<RelayedAnswer, SendError> {
     let now = cx.now();
     let left = req.time_left(now);
@@ -266,7 +258,7 @@
         RouteKind::Stream | RouteKind::Unsafe => left,
     };
     log_send(cx, req, address, left);
-    let exchange = exchange(cx, req, address, attempts);
+    let exchange = exchange(cx, req, address, attempts, last_event);
     let (response, connection) = timeout(within, exchange).await.unwrap_or(Err(TIMED_OUT))?;
     let (parts, body) = response.into_parts();
     let head = (cx.adapter.servers.decode_head)(parts.status, &parts.headers);
@@ -280,7 +272,7 @@
         idle_timeout: idle_timeout(&parts.headers),
         headers: forwardable_headers(parts.headers),
         body,
-        connection,
+        connection: Some(connection),
     };
     if is_unreached {
         return Err(SendError::NotRun("instance cannot send it either"));
@@ -293,6 +285,7 @@
     req: &CallerRequest,
     address: &SmolStr,
     attempts: u32,
+    last_event: Option<u64>,
 ) -> Result<(Response<Incoming>, Connection), SendError> {
     loop {
         let idle = cx.relays.pool.reuse(cx.now(), address);
@@ -307,6 +300,9 @@
             .map_err(|_| SendError::Unsent("request cannot be written"))?;
         let mut headers = req.forwarded.clone();
         (cx.adapter.callers.set_timeout)(&mut headers, req.time_left(cx.now()));
+        if let Some(event) = last_event {
+            (cx.adapter.callers.set_position)(&mut headers, req.headers.first_attempt(), event);
+        }
         headers.insert(ATTEMPTS_HEADER, HeaderValue::from(attempts));
         headers.insert(CONFIG_HEADER, HeaderValue::from(req.config.version));
         *request.headers_mut() = headers;
@@ -341,45 +337,43 @@
         }
     }
 
-    /// Converts the answer into the chunks of its body.
-    fn into_chunks(self) -> ChunkStream {
-        Box::pin(stream::unfold(Some(self), |answer| async move {
-            let mut answer = answer?;
-            match answer.next_chunk().await {
-                Some(Ok(chunk)) => Some((Ok(chunk), Some(answer))),
-                Some(Err(error)) => {
-                    log_failure(&answer.cx, &answer.req, &answer.address, error);
-                    Some((Err(IncompleteBody(error.reason().into())), None))
-                }
-                None => {
-                    answer.keep_connection();
-                    None
-                }
-            }
-        }))
-    }
-
-    async fn next_chunk(&mut self) -> Option<Result<Bytes, SendError>> {
+    /// Returns the next chunk of the body; `None` at its end. An instance that breaks its answer off is
+    /// not used again for a while.
+    pub async fn next_chunk(&mut self) -> Option<Result<Bytes, SendError>> {
         loop {
             let left = self.req.time_left(self.cx.now());
             let frame = match timeout(left, self.body.frame()).await {
-                Ok(frame) => frame?,
+                Ok(Some(frame)) => frame,
+                Ok(None) => {
+                    self.keep_connection();
+                    return None;
+                }
                 Err(_) => return Some(Err(TIMED_OUT)),
             };
             match frame.map(|f| f.into_data()) {
                 Ok(Ok(chunk)) => return Some(Ok(chunk)),
                 // Trailers are not forwarded.
                 Ok(Err(_)) => {}
-                Err(_) => return Some(Err(SendError::Lost("answer ended early"))),
+                Err(_) => {
+                    self.cx.relays.avoid(self.cx.now(), &self.address);
+                    return Some(Err(SendError::Lost("answer ended early")));
+                }
             }
         }
     }
 
-    fn keep_connection(self) {
-        let (cx, sender) = (&self.cx, self.connection.sender);
-        cx.relays
-            .pool
-            .put_back(cx.now(), self.address, MAX_IDLE, sender, self.idle_timeout);
+    fn keep_connection(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        let (cx, address) = (&self.cx, self.address.clone());
+        cx.relays.pool.put_back(
+            cx.now(),
+            address,
+            MAX_IDLE,
+            connection.sender,
+            self.idle_timeout,
+        );
     }
 }
 
@@ -396,7 +390,8 @@
     );
 }
 
-fn log_failure(cx: &Context, req: &CallerRequest, address: &SmolStr, error: SendError) {
+/// Logs that passing a request on to an instance failed.
+pub fn log_failure(cx: &Context, req: &CallerRequest, address: &SmolStr, error: SendError) {
     cx.log(
         EventCode::RelayFailed,
         [
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,16 +4,18 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use jacinthlever_routing::{EventSplitter, ServerKey, StreamEvent};
+use jacinthlever_routing::{EventSplitter, StreamEvent};
 use tokio::time::timeout;
 
 use crate::EventCode;
 use crate::answer::{ChunkStream, IncompleteBody, Verdict};
-use crate::exchange::{Exchange, SendError, TIMED_OUT, log_send_failure};
-use crate::generation::{DecodeRun, Generation};
+use crate::exchange::{SendError, TIMED_OUT, log_send_failure};
+use crate::generation::Generation;
 use crate::quarantine;
+use crate::relay;
 use crate::replacement::Progress;
 use crate::stream_record::StreamRecord;
+use crate::stream_run::{RunSource, StreamRun};
 use crate::suspects::{self, BrokenRun, PROVING_TIME};
 
 /// Multiple of the latency target after which an engine without a first event counts as
@@ -36,8 +38,8 @@
 /// Forwarding task of one stream to a caller.
 pub struct StreamForwarder {
     generation: Generation,
-    /// Run that produces the events; `None` while another engine is being selected.
-    decode: Option<DecodeRun>,
+    /// Run that produces the events; `None` while another one is being started.
+    run: Option<StreamRun>,
     events: EventSplitter,
     /// Complete events that have not been forwarded yet.
     ready: Option<Bytes>,
@@ -58,11 +60,11 @@
     ///
     /// # Errors
     /// Returns a verdict that says whether a backend server may have run the request.
-    pub async fn start(generation: Generation, decode: DecodeRun) -> Result<Self, Verdict> {
+    pub async fn start(generation: Generation, run: StreamRun) -> Result<Self, Verdict> {
         let mut forwarder = Self {
             record: StreamRecord::start(generation.cx(), generation.req()),
             generation,
-            decode: Some(decode),
+            run: Some(run),
             events: EventSplitter::default(),
             ready: None,
             last_event: None,
@@ -72,7 +74,7 @@
             output_tokens: 0,
             is_over: false,
         };
-        forwarder.record_engine();
+        forwarder.record_source();
         match forwarder.next().await {
             None => forwarder.is_over = true,
             Some(Ok(first)) => forwarder.ready = Some(first),
@@ -82,7 +84,8 @@
                 return Err(Verdict::lost("engine gave no answer"));
             }
         }
-        if let Some(decode) = &mut forwarder.decode {
+        let run = forwarder.run.as_mut();
+        if let Some(decode) = run.and_then(StreamRun::engine_mut) {
             decode.reservation.finish_local_prefill();
             forwarder.generation.log_first_event(decode.exchange.server);
         }
@@ -107,34 +110,37 @@
             return None;
         }
         loop {
-            let Some(decode) = self.decode.take() else {
+            let Some(run) = self.run.take() else {
                 return Some(Err(IncompleteBody("no engine".into())));
             };
-            let left = EndedRun::of(&decode);
-            let result = match self.receive(decode).await {
-                Progress::Made((decode, Some(events))) => {
-                    self.decode = Some(decode);
+            let left = run.source();
+            let result = match self.receive(run).await {
+                Progress::Made((run, Some(events))) => {
+                    self.run = Some(run);
                     return Some(Ok(self.forward(events)));
                 }
-                Progress::Made((decode, None)) => {
-                    self.decode = Some(decode);
+                Progress::Made((run, None)) => {
+                    self.run = Some(run);
                     self.record_proof();
                     self.record.set_outcome("whole");
                     return None;
                 }
                 Progress::Failed(error) => {
-                    self.record_end(left, error);
-                    self.generation.record_failure(left.server);
+                    self.record_end(&left, error);
+                    match left {
+                        RunSource::Engine { server, .. } => self.generation.record_failure(server),
+                        RunSource::Instance(_) => self.generation.record_lost_run(),
+                    }
                     self.resume(error).await
                 }
                 Progress::Replaced(decode, failure) => {
                     let error = failure.unwrap_or(SILENT_ENGINE);
-                    self.record_end(left, error);
-                    self.go_on(*decode, error);
+                    self.record_end(&left, error);
+                    self.go_on(StreamRun::Engine(decode), error);
                     Ok(())
                 }
                 Progress::TimedOut => {
-                    self.record_end(left, TIMED_OUT);
+                    self.record_end(&left, TIMED_OUT);
                     Err(IncompleteBody(TIMED_OUT.reason().into()))
                 }
             };
@@ -145,20 +151,24 @@
         }
     }
 
-    /// Waits for the next complete events of a run; `None` at its end.
-    async fn receive(&mut self, mut decode: DecodeRun) -> Progress<(DecodeRun, Events)> {
+    /// Waits for the next complete events of a run; `None` at its end. Another instance waits for its
+    /// engines in the same way, so only the run at an own engine may be replaced here.
+    async fn receive(&mut self, mut run: StreamRun) -> Progress<(StreamRun, Events)> {
         let patience = self.event_timeout();
         let can_resume = self.can_resume();
-        let (server, last_event) = (decode.exchange.server, self.last_event);
+        let (source, last_event) = (run.source(), self.last_event);
         let generation = &mut self.generation;
         let left = generation.req().time_left(generation.cx().now());
         let splitter = &mut self.events;
         // A run that fails is dropped: it must not continue in parallel with the next one.
         let events = async move {
-            let events = next_events(&mut decode.exchange, splitter).await?;
-            Ok((decode, events))
+            let events = next_events(&mut run, splitter).await?;
+            Ok((run, events))
         };
-        if can_resume && generation.may_replace_run() {
+        if let RunSource::Engine { server, .. } = source
+            && can_resume
+            && generation.may_replace_run()
+        {
             let progress = generation.progress_of(server, patience, last_event, events);
             return progress.await;
         }
@@ -187,7 +197,7 @@
             self.record_proof();
         }
         if !self.has_event
-            && let Some(decode) = &self.decode
+            && let Some(StreamRun::Engine(decode)) = &self.run
         {
             self.generation.record_first_event(&decode.version);
         }
@@ -198,15 +208,18 @@
             self.output_tokens += self.generation.tokens_per_event();
             complete.extend_from_slice(&event.bytes);
         }
-        if let Some(decode) = &mut self.decode {
+        if let Some(decode) = self.run.as_mut().and_then(StreamRun::engine_mut) {
             let prompt = self.generation.prompt_tokens();
             decode.reservation.grow(prompt, self.output_tokens);
         }
         complete.into()
     }
 
-    /// Records, once, that the prompt does not crash engines.
+    /// Records, once, that the prompt does not crash engines. Another instance does so itself.
     fn record_proof(&mut self) {
+        if matches!(self.run, Some(StreamRun::Relayed(_))) {
+            return;
+        }
         if self.run_began_at.is_some() && !std::mem::replace(&mut self.is_proven, true) {
             let generation = &self.generation;
             let parts = &generation.req().headers.shared_parts;
@@ -220,24 +233,29 @@
     }
 
     /// Logs a run that has ended before the stream, and checks whether its engine has crashed.
-    fn record_end(&self, run: EndedRun, error: SendError) {
-        let generation = &self.generation;
-        log_send_failure(generation.cx(), generation.req(), run.server, error);
-        let run = BrokenRun {
-            server: run.server,
-            cause: error,
-            sent_at: run.sent_at,
-            answer_began_at: self.run_began_at,
-        };
-        suspects::check_for_crash(generation.cx(), run, generation.req());
+    fn record_end(&self, left: &RunSource, error: SendError) {
+        let (cx, req) = (self.generation.cx(), self.generation.req());
+        match left {
+            RunSource::Instance(address) => relay::log_failure(cx, req, address, error),
+            RunSource::Engine { server, sent_at } => {
+                log_send_failure(cx, req, *server, error);
+                let run = BrokenRun {
+                    server: *server,
+                    cause: error,
+                    sent_at: *sent_at,
+                    answer_began_at: self.run_began_at,
+                };
+                suspects::check_for_crash(cx, run, req);
+            }
+        }
     }
 
-    /// Resumes the stream at another engine after a failure, if the route and the retry budget allow
+    /// Resumes the stream after a failure, if the route and the retry budget allow
     /// it.
     async fn resume(&mut self, error: SendError) -> Result<(), IncompleteBody> {
         match self.start_next_run().await {
-            Ok(decode) => {
-                self.go_on(decode, error);
+            Ok(run) => {
+                self.go_on(run, error);
                 Ok(())
             }
             Err(refused_for) => {
@@ -252,7 +270,7 @@
     ///
     /// # Errors
     /// Returns the reason why there is none.
-    async fn start_next_run(&mut self) -> Result<DecodeRun, &'static str> {
+    async fn start_next_run(&mut self) -> Result<StreamRun, &'static str> {
         let can_resume = self.can_resume();
         let generation = &mut self.generation;
         if !generation.may_retry() {
@@ -261,32 +279,39 @@
         if !can_resume {
             return Err("the events have no numbers");
         }
-        match generation.start_decode(self.last_event).await {
-            Ok(decode) if decode.exchange.status.is_success() => Ok(decode),
-            Ok(_) => Err("another engine answered with a failure"),
-            Err(verdict) => Err(verdict.reason()),
+        let run = generation.start_next_run(self.last_event).await;
+        let run = run.map_err(|verdict| verdict.reason())?;
+        match run.status().is_success() {
+            true => Ok(run),
+            false => Err("another engine answered with a failure"),
         }
     }
 
-    /// Goes on with a run at another engine, after a failure.
-    fn go_on(&mut self, decode: DecodeRun, error: SendError) {
+    /// Goes on with another run, after a failure.
+    fn go_on(&mut self, run: StreamRun, error: SendError) {
+        let version = match &run {
+            StreamRun::Engine(decode) => Some(decode.version.as_str()),
+            StreamRun::Relayed(_) => None,
+        };
         let req = self.generation.req();
         let fields = [
             ("request", req.headers.request_id.as_str().into()),
             ("after_event", self.last_event.into()),
             ("cause", error.reason().into()),
-            ("version", decode.version.as_str().into()),
+            ("version", version.into()),
         ];
         self.generation.cx().log(EventCode::Resumed, fields);
-        self.decode = Some(decode);
-        self.record_engine();
+        self.run = Some(run);
+        self.record_source();
         self.events = EventSplitter::default();
         self.run_began_at = None;
     }
 
-    fn record_engine(&mut self) {
-        if let Some(decode) = &self.decode {
-            self.record.set_server(decode.exchange.server);
+    fn record_source(&mut self) {
+        match self.run.as_ref().map(StreamRun::source) {
+            Some(RunSource::Engine { server, .. }) => self.record.set_server(server),
+            Some(RunSource::Instance(address)) => self.record.set_instance(address),
+            None => {}
         }
     }
 }
@@ -294,31 +319,14 @@
 /// Complete events of a run; `None` at its end.
 type Events = Option<Vec<StreamEvent>>;
 
-/// A run that has ended.
-#[derive(Clone, Copy, Debug)]
-struct EndedRun {
-    server: ServerKey,
-    /// When the request was sent.
-    sent_at: Duration,
-}
-
-impl EndedRun {
-    fn of(decode: &DecodeRun) -> Self {
-        Self {
-            server: decode.exchange.server,
-            sent_at: decode.sent_at,
-        }
-    }
-}
-
 /// Returns the next complete events of a run; `None` at its end. Bytes that complete no event are no
 /// progress.
 async fn next_events(
-    exchange: &mut Exchange,
+    run: &mut StreamRun,
     splitter: &mut EventSplitter,
 ) -> Result<Events, SendError> {
     loop {
-        let Some(chunk) = exchange.next_chunk().await else {
+        let Some(chunk) = run.next_chunk().await else {
             return match splitter.has_partial() {
                 true => Err(BROKEN_OFF),
                 false => Ok(None),
--- a/crates/gateway/src/stream_record.rs
+++ b/crates/gateway/src/stream_record.rs
@@ -14,7 +14,7 @@
 pub struct StreamRecord {
     cx: Rc<Context>,
     req: Rc<CallerRequest>,
-    /// Identifier of the engine that produces the events.
+    /// Identifier of the engine that produces the events, or address of the instance that forwards them.
     server: SmolStr,
     events: u64,
     started_at: Duration,
@@ -45,6 +45,11 @@
         self.server = self.cx.state.borrow().pool.id_of(server);
     }
 
+    /// Sets the address of the instance that forwards the events.
+    pub fn set_instance(&mut self, address: SmolStr) {
+        self.server = address;
+    }
+
     /// Counts complete events that have just been received, and updates the longest pause.
     pub fn record_events(&mut self, events: u64) {
         if events == 0 {
