--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -250,12 +250,16 @@
     }
 
     /// Starts a run that goes on after `last_event`: through another instance if this one reaches no
-    /// engine, or else at an engine of the version that began the stream.
+    /// engine and `may_pass_on` is set, or else at an engine of the version that began the stream.
     ///
     /// # Errors
     /// Returns a verdict that says whether the request may have run.
-    pub async fn start_next_run(&mut self, last_event: Option<u64>) -> Result<StreamRun, Verdict> {
-        if relay::is_possible(&self.cx, &self.req) {
+    pub async fn start_next_run(
+        &mut self,
+        last_event: Option<u64>,
+        may_pass_on: bool,
+    ) -> Result<StreamRun, Verdict> {
+        if may_pass_on && relay::is_possible(&self.cx, &self.req) {
             let attempts = self.req.route.max_attempts.max(1) - self.possible_runs;
             let sent = relay::send_generation(&self.cx, &self.req, attempts, last_event);
             return Ok(StreamRun::Relayed(Box::new(sent.await?)));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -131,7 +131,9 @@
                         RunSource::Engine { server, .. } => self.generation.record_failure(server),
                         RunSource::Instance(_) => self.generation.record_lost_run(),
                     }
-                    self.resume(error).await
+                    // An engine that is out of reach may go on with its run.
+                    let may_pass_on = matches!(left, RunSource::Instance(_));
+                    self.resume(error, may_pass_on).await
                 }
                 Progress::Replaced(decode, failure) => {
                     let error = failure.unwrap_or(SILENT_ENGINE);
@@ -252,8 +254,8 @@
 
     /// Resumes the stream after a failure, if the route and the retry budget allow
     /// it.
-    async fn resume(&mut self, error: SendError) -> Result<(), IncompleteBody> {
-        match self.start_next_run().await {
+    async fn resume(&mut self, error: SendError, may_pass_on: bool) -> Result<(), IncompleteBody> {
+        match self.start_next_run(may_pass_on).await {
             Ok(run) => {
                 self.go_on(run, error);
                 Ok(())
@@ -270,7 +272,7 @@
     ///
     /// # Errors
     /// Returns the reason why there is none.
-    async fn start_next_run(&mut self) -> Result<StreamRun, &'static str> {
+    async fn start_next_run(&mut self, may_pass_on: bool) -> Result<StreamRun, &'static str> {
         let can_resume = self.can_resume();
         let generation = &mut self.generation;
         if !generation.may_retry() {
@@ -279,7 +281,9 @@
         if !can_resume {
             return Err("the events have no numbers");
         }
-        let run = generation.start_next_run(self.last_event).await;
+        let run = generation
+            .start_next_run(self.last_event, may_pass_on)
+            .await;
         let run = run.map_err(|verdict| verdict.reason())?;
         match run.status().is_success() {
             true => Ok(run),
