A stream that is taken up keeps its version if the instance it was passed on to ends at once

Cause, by reading the change as a newcomer would: the version was looked for only if this attempt had brought an event. A stream that the caller takes up has begun before, so a run at an own engine after a relayed one could have had any version. An instance answers with the head and the first event together, so only a connection that breaks between the two can meet it; a test of ours (the other instance killed before its first event) passed before as well, since the request then ends with 502, and was not kept.

Change: the version is looked for also if the stream was taken up.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -264,7 +264,8 @@
             let sent = relay::send_generation(&self.cx, &self.req, attempts, last_event);
             return Ok(StreamRun::Relayed(Box::new(sent.await?)));
         }
-        if last_event.is_some() && self.version.is_none() {
+        let has_begun = last_event.is_some() || self.is_taken_up();
+        if has_begun && self.version.is_none() {
             let attempt = self.req.headers.first_attempt();
             let version = stream_origins::find(&self.cx, &self.req.service, Some(attempt));
             let version = version.await.ok_or_else(|| self.unknown_version())?;
