--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -45,8 +45,8 @@
 }
 
 impl FullResponse {
-    /// Checks that a stream has not been broken off: only its events tell, unless the answer states its
-    /// length.
+    /// Checks that a stream has not been broken off. If the answer states no length, only an incomplete
+    /// event shows it.
     ///
     /// # Errors
     /// Fails if the stream ends inside an event.
--- a/crates/gateway/src/replacement.rs
+++ b/crates/gateway/src/replacement.rs
@@ -61,7 +61,7 @@
     /// A run that is silent for `patience` is not given up: a sound engine may fall silent and go on,
     /// and there may be no other one that has room. The request is sent to another engine meanwhile.
     /// Neither is given up before one of the two runs it: a sound engine may accept a request late, and
-    /// may refuse it late. The first one to be heard keeps the request.
+    /// may refuse it late. The first one that answers keeps the request.
     pub async fn progress_of<T, R>(
         &mut self,
         server: ServerKey,
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -166,7 +166,7 @@
 }
 
 /// Returns the version of all engines of a service at which a stream may have begun; `None` if there are
-/// several, or if this instance may not have heard of another one yet.
+/// several, or if this instance cannot rule out that there are.
 async fn only_version(cx: &Rc<Context>, service: &str) -> Option<SmolStr> {
     if !cx.state.borrow().pool.is_mixed(service) {
         let confirmed = timeout(STORE_TIMEOUT, version_notes::confirm(cx)).await;
--- a/crates/gateway/src/version_notes.rs
+++ b/crates/gateway/src/version_notes.rs
@@ -44,7 +44,7 @@
     reads: Mutex<(Option<StoreClient>, Option<Duration>)>,
 }
 
-/// Reads the list again, since engines of a version may have joined of which this instance has not heard:
+/// Reads the list again, since engines of a version that this instance does not know may have joined:
 /// it may have been cut off from its peers, or its process may have stood still. No stream has begun by
 /// now at a version that the list lacks. Calls that arrive during a read share the next one.
 ///
