Rows of the operator's table are told apart by key

Cause: every row of the table was decoded as the configuration. The last row of an answer decided whether the store's configuration was older, and was sent to peers as the configuration. A configuration that was known to be newer was read again at once, without a pause, for as long as answers did not bring it.

Change: the adapter tells rows apart by key, and unknown ones are ignored. A configuration that is older or cannot be decoded is remembered by its version until a newer one is in force. A call without a wait that brought nothing is followed by a pause.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -78,6 +78,8 @@
     pub write: fn(&RowWrite) -> StoreRequest,
     /// Decodes the answer to a write, which holds the new version.
     pub written: fn(&[u8]) -> Result<u64, DecodeError>,
+    /// Tells from its key what a row of [`Table::Config`] holds.
+    pub config_row: fn(&str) -> ConfigRow,
     /// Decodes the operator's configuration.
     pub config: fn(&[u8]) -> Result<FleetConfig, DecodeError>,
     /// Decodes the registration of the backend server with an identifier.
@@ -253,6 +255,15 @@
     Streams,
 }
 
+/// What a row of [`Table::Config`] holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ConfigRow {
+    /// The configuration.
+    Config,
+    /// Something that this build does not know; such a row is ignored.
+    Unknown,
+}
+
 /// A row of a table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,9 +61,9 @@
 mod zone_news;
 
 pub use adapter::{
-    Adapter, AnswerHead, CallerDialect, CallerHeaders, DecodeError, EngineRequest, GenerationSpec,
-    KvLocation, PrefillResult, Row, RowWrite, Rows, ServerDialect, ServerHeaders, ServerLoad,
-    StoreDialect, StoreRequest, Table, WatchResult,
+    Adapter, AnswerHead, CallerDialect, CallerHeaders, ConfigRow, DecodeError, EngineRequest,
+    GenerationSpec, KvLocation, PrefillResult, Row, RowWrite, Rows, ServerDialect, ServerHeaders,
+    ServerLoad, StoreDialect, StoreRequest, Table, WatchResult,
 };
 pub use clock::Clock;
 pub use event_code::EventCode;
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -16,7 +16,7 @@
     ConfigUpdate, apply_config, apply_restored_server, apply_server, remove_missing_servers,
 };
 use crate::zone_news::{self, ConfigNews};
-use crate::{Row, Rows, Table, WatchResult};
+use crate::{ConfigRow, Row, Rows, Table, WatchResult};
 
 /// Maximum time that the store waits for changes before it answers a watch.
 ///
@@ -53,7 +53,7 @@
         catch_up: CatchUp::default(),
         era: None,
         read_again_at: None,
-        is_config_older: false,
+        unusable_config: None,
         backoff: Backoff::default(),
     };
     loop {
@@ -75,9 +75,9 @@
     era: Option<u64>,
     /// When the complete table is read again after the store has come back from a copy.
     read_again_at: Option<Duration>,
-    /// Whether the store has an older configuration than the one in force, so that no answer verifies
-    /// the latter.
-    is_config_older: bool,
+    /// Version of the store's configuration if that is older than the one in force or cannot be decoded.
+    /// No answer verifies the one in force then.
+    unusable_config: Option<u64>,
     backoff: Backoff,
 }
 
@@ -94,7 +94,7 @@
         };
         let part = self.part();
         if part != StoreWatch::Idle || self.must_catch_up() {
-            let can_wait = self.is_config_older || !self.is_verification_old();
+            let can_wait = self.is_config_unusable() || !self.is_verification_old();
             let wait = if part != StoreWatch::Idle && can_wait {
                 MAX_WATCH_WAIT
             } else {
@@ -102,7 +102,13 @@
             };
             self.catch_up.restart();
             let result = self.watch(after, wait, part).await;
-            return self.pause_after(result).await;
+            let is_unchanged = matches!(result, Ok(false));
+            self.pause_after(result).await;
+            // Whatever the call was made for may hold still, and the store has just answered it.
+            if wait.is_zero() && is_unchanged {
+                sleep(CHECK_INTERVAL).await;
+            }
+            return;
         }
         let cx = self.cx.clone();
         tokio::select! {
@@ -186,12 +192,23 @@
     /// Whether newer rows must be read from the store because no peer has sent them.
     fn must_catch_up(&mut self) -> bool {
         let now = self.cx.now();
-        let is_behind = !self.is_config_older && self.is_behind();
+        let is_behind = self.is_behind();
         let zone_size = self.cx.state.borrow().members.zone_size(now);
         let is_due = self.catch_up.is_due(now, is_behind, zone_size);
         let state = self.cx.state.borrow();
-        let is_large = state.large_config_row > state.config_freshness.row;
-        is_due || (self.table == Table::Config && is_large && !self.is_config_older)
+        let newest = state.config_freshness.row.max(self.unusable_row());
+        is_due || (self.table == Table::Config && state.large_config_row > newest)
+    }
+
+    /// Returns the version of the store's configuration if that cannot be used, 0 otherwise.
+    fn unusable_row(&self) -> u64 {
+        self.unusable_config.unwrap_or(0)
+    }
+
+    /// Whether the store's configuration cannot be used, and no newer one has come into force since.
+    fn is_config_unusable(&self) -> bool {
+        self.table == Table::Config
+            && self.unusable_row() > self.cx.state.borrow().config_freshness.row
     }
 
     /// Whether a peer has reported newer rows than this copy has.
@@ -201,7 +218,7 @@
             Table::Config => state.newest_peer_rows.0,
             _ => state.newest_peer_rows.1,
         };
-        newest > self.freshness(&state).row
+        newest > self.freshness(&state).row.max(self.unusable_row())
     }
 
     /// Records the time and the newest reported row before a call to the store.
@@ -273,20 +290,15 @@
     /// Applies rows and records that they were current when the call was sent; `register` applies a
     /// row of the servers.
     fn apply(&mut self, start: CallStart, rows: &Rows, register: fn(&Context, &Row)) {
-        let newest = rows.rows.iter().map(|row| row.version).max();
-        for row in &rows.rows {
-            if self.table != Table::Config {
-                register(&self.cx, row);
-                continue;
-            }
-            let update = apply_config(&self.cx, row);
-            self.is_config_older = update == ConfigUpdate::Older;
-            if update == ConfigUpdate::Unreadable {
-                // It may revoke a key, so the older one must no longer count as verified.
-                return;
+        let newest = match self.table {
+            Table::Config => self.apply_config(&rows.rows),
+            _ => {
+                rows.rows.iter().for_each(|row| register(&self.cx, row));
+                rows.rows.iter().map(|row| row.version).max()
             }
-        }
-        if self.is_config_older {
+        };
+        if self.is_config_unusable() {
+            // It may revoke a key, so the one in force must no longer count as verified.
             return;
         }
         let mut state = self.cx.state.borrow_mut();
@@ -301,6 +313,30 @@
         freshness.verified_ms = freshness.verified_ms.max(rows.store_ms);
     }
 
+    /// Applies the newest configuration among rows, and returns its version; `None` if there is none or it
+    /// cannot be used.
+    fn apply_config(&mut self, rows: &[Row]) -> Option<u64> {
+        let row = self.newest_config(rows)?;
+        match apply_config(&self.cx, row) {
+            ConfigUpdate::Current => {
+                self.unusable_config = None;
+                Some(row.version)
+            }
+            ConfigUpdate::Older | ConfigUpdate::Unreadable => {
+                self.unusable_config = Some(row.version);
+                None
+            }
+        }
+    }
+
+    fn newest_config<'a>(&self, rows: &'a [Row]) -> Option<&'a Row> {
+        let kind = self.cx.adapter.store.config_row;
+        let configs = rows
+            .iter()
+            .filter(|row| kind(&row.key) == ConfigRow::Config);
+        configs.max_by_key(|row| row.version)
+    }
+
     /// Sends to peers what a watch has brought; `was_old` is whether the copy had not been verified recently. Only a watch reports removed rows, so rows from a read of
     /// the complete table are not sent.
     fn share(&self, part: StoreWatch, was_old: bool, from: u64, rows: Vec<Row>) {
@@ -324,8 +360,8 @@
 
     fn share_rows(&self, now: Duration, from: u64, rows: Vec<Row>) {
         if self.table == Table::Config {
-            if let Some(config) = rows.last().and_then(ConfigNews::new)
-                && !self.is_config_older
+            if !self.is_config_unusable()
+                && let Some(config) = self.newest_config(&rows).and_then(ConfigNews::new)
             {
                 zone_news::share(&self.cx, |news| news.config = Some(config));
             }
