Availability zones can be evacuated

Cause: nothing in the product knew of an evacuation.

Change: rows evacuate/ZONE of the operator's table mark the zone's servers as evacuated: they are not picked, and the function through which all sends pass refuses what was picked before. Only what is held there may be released. Instances tell each other all that they know, in reports, digests and news of their zone; the newest version wins. Requests that only evacuated servers could run are refused at once. Without such a row nothing changes, on the wire too.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -260,6 +260,8 @@
 pub enum ConfigRow {
     /// The configuration.
     Config,
+    /// The evacuation of the availability zone with this name.
+    Evacuation(SmolStr),
     /// Something that this build does not know; such a row is ignored.
     Unknown,
 }
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -26,6 +26,10 @@
     ConfigApplied = 1201,
     /// A restored store has an older configuration than the one in force, which stays in force.
     ConfigOlder = 1202,
+    /// The operator has evacuated an availability zone: its servers get no more requests.
+    ZoneEvacuated = 1203,
+    /// The evacuation of an availability zone has ended.
+    ZoneRestored = 1204,
     /// A backend server was registered, or its registration changed.
     ServerChanged = 1301,
     /// A backend server is no longer registered, or its registration cannot be decoded.
@@ -116,7 +120,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 54] = [
+    pub const ALL: [Self; 56] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -128,6 +132,8 @@
         Self::StoreRestored,
         Self::ConfigApplied,
         Self::ConfigOlder,
+        Self::ZoneEvacuated,
+        Self::ZoneRestored,
         Self::ServerChanged,
         Self::ServerGone,
         Self::ServerSilent,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::connection_pool::{Connection, RequestBody};
 use crate::context::Context;
 use crate::departures;
+use crate::evacuations::EVACUATED;
 use crate::pauses;
 use crate::permits;
 use crate::reach;
@@ -207,6 +208,11 @@
         let in_flight = InFlight::begin(cx, server);
         let started = cx.now();
         if let Some(s) = cx.state.borrow_mut().pool.get_mut(server) {
+            // What this instance holds at an evacuated server may be released.
+            let is_release = caller_send.is_none() && call.method == Method::DELETE;
+            if s.is_evacuated && !is_release {
+                return Err(EVACUATED);
+            }
             if s.requested_pause.is_active(started) {
                 return Err(PAUSED);
             }
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -18,6 +18,7 @@
 use crate::answer::{AnswerBody, OUT_OF_REACH, Verdict};
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
+use crate::evacuations::ALL_EVACUATED;
 use crate::exchange::{
     Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_SERVER_NOW, SendError, TIMED_OUT, head_timeout,
     log_send_failure,
@@ -579,6 +580,9 @@
             if self.is_unreachable() {
                 return Err(self.refusal(OUT_OF_REACH));
             }
+            if self.is_fully_evacuated() {
+                return Err(self.refusal(ALL_EVACUATED));
+            }
             if waiter.is_turn()
                 && self.can_prefill_in_time()
                 && let Some(reservation) = self.request_reservation().await
@@ -614,6 +618,11 @@
         reach::is_lost(&self.cx, &self.req.service) || relay::is_possible(&self.cx, &self.req)
     }
 
+    fn is_fully_evacuated(&self) -> bool {
+        let state = self.cx.state.borrow();
+        state.pool.is_fully_evacuated(&self.req.service)
+    }
+
     /// Logs the reserved memory of the decode engines when a request is given up for lack of it.
     fn log_no_capacity(&self) {
         let now = self.cx.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod departures;
 mod directory;
 mod drain;
+mod evacuations;
 mod event_code;
 mod event_log;
 mod exchange;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,7 @@
     relayed: Counter<u64>,
     retries: Counter<u64>,
     lost_services: Gauge<u64>,
+    evacuated_zones: Gauge<u64>,
 }
 
 impl Metrics {
@@ -79,6 +80,7 @@
             relayed: meter.u64_counter("jacinthlever_relayed_requests").build(),
             retries: meter.u64_counter("jacinthlever_retries").build(),
             lost_services: meter.u64_gauge("jacinthlever_lost_services").build(),
+            evacuated_zones: meter.u64_gauge("jacinthlever_evacuated_zones").build(),
             registry,
             _provider: provider,
         })
@@ -178,6 +180,11 @@
         self.lost_services.record(count as u64, &[]);
     }
 
+    /// Records the number of availability zones whose servers get no requests.
+    pub fn record_evacuated_zones(&self, count: usize) {
+        self.evacuated_zones.record(count as u64, &[]);
+    }
+
     /// Records the number of sets of prompt parts that are quarantined.
     pub fn record_quarantined_parts(&self, count: usize) {
         self.quarantined_parts.record(count as u64, &[]);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,6 +24,7 @@
 use crate::context::Context;
 use crate::datagram::{self, MAX_DATAGRAM_BYTES};
 use crate::departures::{self, Departure};
+use crate::evacuations::{self, SharedEvacuation};
 use crate::freshness::{Freshness, TableChange};
 use crate::paced_socket::PacedSocket;
 use crate::permits::{self, PermitAnswer, PermitMessage};
@@ -123,6 +124,9 @@
     /// Whether this instance understands [`Message::Forward`].
     #[serde(default)]
     forwards_digests: bool,
+    /// All that this instance knows of evacuated zones.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    evacuations: Vec<SharedEvacuation>,
 }
 
 impl Report {
@@ -193,6 +197,9 @@
     /// When the delegate made the digest: Unix time of its start and its uptime, in milliseconds.
     #[serde(default)]
     made_ms: u64,
+    /// All that the delegate knows of evacuated zones.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    evacuations: Vec<SharedEvacuation>,
 }
 
 impl Digest {
@@ -395,6 +402,7 @@
         suspect_parts: quarantine::recent(&state, now),
         lost_services: state.lost_services(),
         forwards_digests: true,
+        evacuations: evacuations::current(&state),
     }
 }
 
@@ -429,6 +437,7 @@
         suspect_parts: quarantine::recent(&state, now),
         lost_services,
         made_ms: cx.incarnation + now.as_millis() as u64,
+        evacuations: evacuations::current(&state),
     }
 }
 
@@ -544,6 +553,7 @@
     server_limits::merge(cx, &report.limits);
     departures::merge(cx, &report.departures);
     quarantine::merge(cx, &report.suspect_parts);
+    evacuations::merge(cx, &report.evacuations);
     for digest in &report.digests {
         apply_digest(cx, digest);
     }
@@ -579,6 +589,7 @@
     server_limits::merge(cx, &digest.limits);
     departures::merge(cx, &digest.departures);
     quarantine::merge(cx, &digest.suspect_parts);
+    evacuations::merge(cx, &digest.evacuations);
     outcome
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -15,6 +15,7 @@
 use crate::answer::{AnswerBody, OUT_OF_REACH, Verdict};
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
+use crate::evacuations::{ALL_EVACUATED, RETRY_AFTER_EVACUATED};
 use crate::exchange::{
     Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_CONNECTION, NO_SERVER_NOW, SendError, TIMED_OUT,
     implies_not_run, log_send_failure,
@@ -265,6 +266,9 @@
             });
         }
         let (now, service) = (self.cx.now(), &self.req.service);
+        if self.cx.state.borrow().pool.is_fully_evacuated(service) {
+            return Err(Verdict::unavailable(ALL_EVACUATED, RETRY_AFTER_EVACUATED));
+        }
         let wait = self.cx.state.borrow().pool.wait_for_service(now, service);
         if let Some(wait) = wait {
             let retry_after = wait.max(RETRY_AFTER_NO_SERVER);
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -8,6 +8,7 @@
 
 use crate::backoff::Backoff;
 use crate::context::Context;
+use crate::evacuations;
 use crate::freshness::{Freshness, TableChange};
 use crate::state::State;
 use crate::store::{StoreClient, StoreError};
@@ -244,6 +245,10 @@
         remove_missing_servers(&self.cx, self.table, &rows);
         let era = store_version::era(rows.version);
         let is_restored = self.era.replace(era).is_some_and(|last| last != era);
+        // The operator writes again what a restored store has lost, so only the next read counts then.
+        if self.table == Table::Config && !is_restored {
+            evacuations::revoke_missing(&self.cx, &rows.rows, rows.version);
+        }
         self.version = Some(rows.version);
         if is_restored {
             self.read_again_at = Some(start.at + RESTORED_READ_DELAY);
@@ -291,7 +296,13 @@
     /// row of the servers.
     fn apply(&mut self, start: CallStart, rows: &Rows, register: fn(&Context, &Row)) {
         let newest = match self.table {
-            Table::Config => self.apply_config(&rows.rows),
+            Table::Config => {
+                if evacuations::apply_rows(&self.cx, &rows.rows) {
+                    let known = evacuations::current(&self.cx.state.borrow());
+                    zone_news::share(&self.cx, |news| news.evacuations = known);
+                }
+                self.apply_config(&rows.rows)
+            }
             _ => {
                 rows.rows.iter().for_each(|row| register(&self.cx, row));
                 rows.rows.iter().map(|row| row.version).max()
--- a/crates/gateway/src/zone_news.rs
+++ b/crates/gateway/src/zone_news.rs
@@ -4,6 +4,7 @@
 
 use crate::Row;
 use crate::context::Context;
+use crate::evacuations::{self, SharedEvacuation};
 use crate::freshness::{Freshness, TableChange};
 use crate::table_updates::{apply_config, apply_peer_changes};
 
@@ -55,12 +56,18 @@
     /// When the copies were verified, if the other instances wait for that.
     #[serde(default)]
     pub verification: Option<Verification>,
+    /// All that is known of evacuated zones, if some of it has changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<SharedEvacuation>,
 }
 
 impl ZoneNews {
     /// Whether there are no news.
     pub fn is_empty(&self) -> bool {
-        self.changes.is_empty() && self.config.is_none() && self.verification.is_none()
+        self.changes.is_empty()
+            && self.config.is_none()
+            && self.verification.is_none()
+            && self.evacuations.is_empty()
     }
 
     /// Divides the news into parts of which each fits into a datagram, in the order in which they apply.
@@ -77,6 +84,9 @@
         if parts.is_empty() {
             parts.push(Self::default());
         }
+        if let Some(first) = parts.first_mut() {
+            first.evacuations = self.evacuations;
+        }
         // It holds for copies that have the rows of all parts.
         if let Some(last) = parts.last_mut() {
             last.verification = self.verification;
@@ -87,6 +97,7 @@
     /// Applies news of a peer.
     pub fn apply(&self, cx: &Context) {
         apply_peer_changes(cx, &self.changes);
+        evacuations::merge(cx, &self.evacuations);
         if let Some(config) = &self.config {
             apply_config_news(cx, config);
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod catch_up;
 mod config;
 mod customer_charges;
+mod evacuations;
 mod event_stream;
 mod forwarding;
 mod membership;
@@ -43,6 +44,7 @@
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
 };
 pub use customer_charges::CustomerCharges;
+pub use evacuations::{EvacuationStatement, Evacuations};
 pub use event_stream::{EventSplitter, StreamEvent, is_whole_stream};
 pub use forwarding::{Forwarding, ForwardingGroup};
 pub use membership::{
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -119,6 +119,8 @@
     /// Whether the server has said in an answer that it leaves. A restarted process is another
     /// server, so this is never undone.
     pub is_leaving: bool,
+    /// Whether the operator has evacuated the server's zone.
+    pub is_evacuated: bool,
     /// Pause that the server asks of this instance.
     pub requested_pause: RequestedPause,
     /// Request limit that the server names.
@@ -158,6 +160,7 @@
             local_prefills: 0,
             expired_at: None,
             is_leaving: false,
+            is_evacuated: false,
             requested_pause: RequestedPause::default(),
             named_limit: NamedLimit::default(),
             permits_from: Duration::ZERO,
@@ -258,7 +261,7 @@
 
     /// Whether the server accepts new work.
     pub fn accepts_work(&self) -> bool {
-        self.entry.state == ServerState::Ready && !self.is_leaving
+        self.entry.state == ServerState::Ready && !self.is_leaving && !self.is_evacuated
     }
 
     /// Records a send to the server; the latest ones without a permit count against a limit that
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -7,8 +7,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    CallOutcome, EngineRole, LimitChange, LimitStatement, Server, ServerEntry, ServerKey,
-    ServerState, VersionNotes, Versions,
+    CallOutcome, EngineRole, EvacuationStatement, Evacuations, LimitChange, LimitStatement, Server,
+    ServerEntry, ServerKey, ServerState, VersionNotes, Versions,
 };
 
 /// Time for which a registration is still used that expired while the store was unreachable.
@@ -109,6 +109,8 @@
     versions: BTreeMap<(SmolStr, SmolStr), Duration>,
     /// Versions that the store lists; `None` if they are not kept there.
     notes: Option<VersionNotes>,
+    /// Zones whose servers get no requests.
+    evacuations: Evacuations,
 }
 
 impl ServerPool {
@@ -163,6 +165,7 @@
     /// state remains.
     pub fn register(&mut self, mut entry: ServerEntry) -> ServerKey {
         self.removed.remove(&entry.id);
+        let is_evacuated = self.evacuations.is_evacuated(&entry.zone);
         if let Some(key) = self.by_id.get(&entry.id).copied() {
             let known = &self.servers[key].entry;
             let restarted = known.started_ms.is_some()
@@ -176,13 +179,16 @@
                 }
                 let server = &mut self.servers[key];
                 server.entry = entry;
+                server.is_evacuated = is_evacuated;
                 server.expired_at = None;
                 return key;
             }
             self.servers.remove(key);
         }
         let id = entry.id.clone();
-        let key = self.servers.insert(Server::new(entry));
+        let mut server = Server::new(entry);
+        server.is_evacuated = is_evacuated;
+        let key = self.servers.insert(server);
         self.by_id.insert(id, key);
         key
     }
@@ -429,6 +435,33 @@
             .filter(move |(_, s)| s.wait_before_requests(pick.now).is_none())
     }
 
+    /// Merges a statement on the evacuation of a zone; returns whether the zone's servers get requests
+    /// again or no longer get any.
+    pub fn merge_evacuation(&mut self, zone: &SmolStr, statement: EvacuationStatement) -> bool {
+        let has_changed = self.evacuations.merge(zone, statement);
+        if has_changed {
+            let is_evacuated = self.evacuations.is_evacuated(zone);
+            for server in self.servers.values_mut() {
+                if server.entry.zone == *zone {
+                    server.is_evacuated = is_evacuated;
+                }
+            }
+        }
+        has_changed
+    }
+
+    /// Returns the evacuations of zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Whether a service has servers, and all that would accept work are in evacuated zones.
+    pub fn is_fully_evacuated(&self, service: &str) -> bool {
+        let mut servers = self.servers.values().filter(|s| s.entry.service == service);
+        let has_evacuated = servers.clone().any(|s| s.is_evacuated);
+        has_evacuated && !servers.any(Server::accepts_work)
+    }
+
     /// Records that a server leaves; returns whether that is new.
     pub fn mark_leaving(&mut self, key: ServerKey) -> bool {
         let server = self.servers.get_mut(key);
