Limits for cold backend servers

A server that has just started crashes when all instances together send it more than its service tolerates then. Registrations (coldRemainingMs), answers (Cold-Ms) and services (coldPerS) say so, and were not read.

Calls for permits of cold servers carry `is_cold`, which older builds skip. A request whose server has become cold since it was picked is not sent. Nothing changes, in messages either, for services without coldPerS.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -201,6 +201,9 @@
     pub pause: Option<Result<Duration, DecodeError>>,
     /// Whether the server says that it leaves: it is about to stop and takes no new work.
     pub is_leaving: bool,
+    /// Time for which the server says that it stays cold, zero if it is warm; `None` if the answer
+    /// does not say.
+    pub cold_for: Option<Duration>,
 }
 
 /// Load of a backend server.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -47,7 +47,7 @@
     pub metrics: Metrics,
     /// Digests of other zones that this instance has received.
     pub received_digests: RefCell<ReceivedDigests>,
-    /// Permits for requests to backend servers that name a limit.
+    /// Permits for requests to backend servers that name a limit or are cold.
     pub permits: Permits,
     /// Calls for the versions that began streams.
     pub origin_calls: OriginCalls,
@@ -103,6 +103,7 @@
         let seed = blake3::hash(format!("{}/{incarnation}", settings.instance).as_bytes());
         let mut word = [0; 8];
         word.copy_from_slice(&seed.as_bytes()[..8]);
+        let phase = f64::from(seed.as_bytes()[8]) / 256.0;
         let state = State::new(&settings);
         Ok(Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
@@ -115,7 +116,7 @@
             event_log: EventLog::spawn(clock)?,
             metrics: Metrics::open()?,
             received_digests: RefCell::default(),
-            permits: Permits::new(incarnation << CALL_NUMBER_BITS),
+            permits: Permits::new(incarnation << CALL_NUMBER_BITS, phase),
             origin_calls: OriginCalls::new(incarnation << CALL_NUMBER_BITS),
             record_reader: RecordReader::default(),
             version_list: ListReader::default(),
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -56,6 +56,10 @@
     ServiceRegained = 1314,
     /// The software versions of a service's engines were listed in the store.
     VersionsListed = 1315,
+    /// A backend server is cold; it gets no more requests than its service tolerates then.
+    ServerCold = 1318,
+    /// A backend server is no longer cold.
+    ServerWarm = 1319,
     /// Reports of a peer instance, or of another zone, arrive for the first time or again.
     PeerRegained = 1401,
     /// Reports of a peer instance, or of another zone, no longer arrive.
@@ -116,7 +120,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 54] = [
+    pub const ALL: [Self; 56] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -143,6 +147,8 @@
         Self::ServiceLost,
         Self::ServiceRegained,
         Self::VersionsListed,
+        Self::ServerCold,
+        Self::ServerWarm,
         Self::PeerRegained,
         Self::PeerLost,
         Self::InstanceRemoved,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,18 +11,19 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use jacinthlever_routing::{CallOutcome, ServerKey};
+use jacinthlever_routing::{CallOutcome, Server, ServerKey};
 use smol_str::SmolStr;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 use crate::attribution;
 use crate::caller_request::{CallerRequest, remove_connection_headers};
+use crate::cold_servers;
 use crate::connection_pool::{Connection, RequestBody};
 use crate::context::Context;
 use crate::departures;
 use crate::pauses;
-use crate::permits;
+use crate::permits::{self, NO_PERMIT};
 use crate::reach;
 use crate::relay::UNREACHED_HEADER;
 use crate::sends::SendTicket;
@@ -146,9 +147,10 @@
         };
         let is_prefill = extra.prefill_only;
         // The permits of a reserved decode were acquired with its reservation.
-        if extra.reservation_id.is_none() {
-            permits::acquire(cx, server, 1).await?;
-        }
+        let has_permit = match extra.reservation_id {
+            Some(_) => true,
+            None => permits::acquire(cx, server, 1).await?,
+        };
         log_send(cx, req, server, &extra, &ticket);
         (cx.adapter.servers.encode_headers)(&mut headers, &extra);
         let call = Outgoing {
@@ -160,6 +162,7 @@
         let caller_send = CallerSend {
             req,
             is_prefill,
+            has_permit,
             ticket,
         };
         let exchange = Self::perform(cx, server, &target, call, within, Some(&caller_send));
@@ -206,12 +209,11 @@
     ) -> Result<Self, SendError> {
         let in_flight = InFlight::begin(cx, server);
         let started = cx.now();
-        if let Some(s) = cx.state.borrow_mut().pool.get_mut(server) {
-            if s.requested_pause.is_active(started) {
-                return Err(PAUSED);
-            }
-            s.record_send(started);
+        let is_paused = |s: &Server| s.requested_pause.is_active(started);
+        if cx.state.borrow().pool.get(server).is_some_and(is_paused) {
+            return Err(PAUSED);
         }
+        cx.state.borrow_mut().pool.record_send(started, server);
         let sending = send_request(cx, server, target, &call, caller_send);
         let result = Self::await_head(cx, server, sending, within, caller_send).await;
         let took = cx.now().saturating_sub(started);
@@ -222,7 +224,7 @@
                     SendError::Unsent(_) => CallOutcome::Unresponsive,
                     _ => CallOutcome::Broken,
                 };
-                if error != KEY_REVOKED {
+                if !is_withheld(error) {
                     cx.record_outcome(server, outcome);
                 }
                 return Err(error);
@@ -272,7 +274,7 @@
         }
         match &result {
             Ok(Ok(_)) => reach::record_heard(cx, server),
-            Ok(Err(error)) if *error != KEY_REVOKED => reach::record_missed(cx, server),
+            Ok(Err(error)) if !is_withheld(*error) => reach::record_missed(cx, server),
             _ => {}
         }
         result
@@ -307,6 +309,7 @@
         let sent_at = now.saturating_sub(took);
         server_limits::record(cx, server, sent_at, &head.limit);
         pauses::record(cx, server, sent_at, &head.pause);
+        cold_servers::record_answer(cx, server, sent_at, head.cold_for);
         if head.is_leaving {
             departures::record(cx, server);
         }
@@ -407,11 +410,18 @@
 /// The caller's key was revoked, or may have been, between the request's arrival and the send.
 pub const KEY_REVOKED: SendError = SendError::Unsent("key is no longer accepted");
 
+/// Whether this instance has not sent a request at the last moment, which tells nothing of the server.
+fn is_withheld(error: SendError) -> bool {
+    [KEY_REVOKED, NO_PERMIT].contains(&error)
+}
+
 /// A caller's request that is sent, as opposed to a control call. Its key must still be accepted at
 /// the moment of the send.
 struct CallerSend<'a> {
     req: &'a CallerRequest,
     is_prefill: bool,
+    /// Whether a permit was acquired for the send.
+    has_permit: bool,
     ticket: SendTicket,
 }
 
@@ -493,6 +503,9 @@
         if caller_send.is_some_and(|c| !c.req.is_still_authorized(cx)) {
             return Err(KEY_REVOKED);
         }
+        if caller_send.is_some_and(|c| !c.has_permit) {
+            permits::check_still_unneeded(cx, server)?;
+        }
         let request = call.request(&target.address)?;
         let ticket = caller_send.map(|c| &c.ticket);
         ticket.inspect(|ticket| ticket.record_use());
@@ -583,7 +596,7 @@
                 "failure_rate",
                 round_to_hundredths(picked.failure_rate(now)).into(),
             ),
-            ("server_limit", picked.named_limit.rate().into()),
+            ("server_limit", state.pool.rate_limit(now, server).into()),
             ("time_left_ms", (extra.time_left.as_millis() as u64).into()),
             ("config", req.config.version.into()),
         ],
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -687,19 +687,18 @@
             if self.is_unreachable() {
                 return None;
             }
-            if permits::acquire(&self.cx, server, RESERVED_DECODE_REQUESTS)
-                .await
-                .is_err()
-            {
+            let acquired = permits::acquire(&self.cx, server, RESERVED_DECODE_REQUESTS).await;
+            let Ok(has_permits) = acquired else {
                 continue;
-            }
+            };
             let (cx, ttl) = (self.cx.clone(), self.spec.reservation_ttl);
             // The call goes on if this future is dropped, and what it has reserved is released then.
             let (tx, rx) = oneshot::channel();
             tokio::task::spawn_local(async move {
                 drop(tx.send(reserve_at(&cx, server, tokens, ttl).await));
             });
-            if let Ok(Some(reservation)) = rx.await {
+            if let Ok(Some(mut reservation)) = rx.await {
+                reservation.has_permits = has_permits;
                 return Some(reservation);
             }
         }
@@ -911,6 +910,9 @@
     last_event: Option<u64>,
 ) -> Result<Exchange, SendError> {
     let PreparedDecode { reservation, kv } = prepared;
+    if !reservation.has_permits {
+        permits::check_still_unneeded(cx, reservation.server)?;
+    }
     let extra = ServerHeaders {
         kv_source: kv.as_ref().map(|kv| kv.location.clone()),
         reservation_id: reservation.pending_id.clone(),
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -13,8 +13,8 @@
 
 use crate::context::Context;
 use crate::{
-    Adapter, EventCode, Settings, Table, callers, directory, drain, peers, quarantine, reach,
-    registry, role_coordinator, stream_records, table_sync, version_notes,
+    Adapter, EventCode, Settings, Table, callers, cold_servers, directory, drain, peers,
+    quarantine, reach, registry, role_coordinator, stream_records, table_sync, version_notes,
 };
 
 /// Interval at which expired servers and connections are removed.
@@ -117,8 +117,10 @@
             state.pool.pausing_servers(now),
             state.pool.leaving().count(),
         );
+        cx.metrics.record_cold_servers(state.pool.cold_servers(now));
         cx.metrics.record_lost_services(state.lost_services().len());
         drop(state);
+        cold_servers::log_changes(&cx);
         cx.connection_pool.evict_expired(now);
         cx.relays.evict_expired(now);
         quarantine::remove_expired(&cx);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod capacity_queue;
 mod charge;
 mod clock;
+mod cold_servers;
 mod connection;
 mod connection_pool;
 mod context;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     limited_servers: Gauge<u64>,
     pausing_servers: Gauge<u64>,
     leaving_servers: Gauge<u64>,
+    cold_servers: Gauge<u64>,
+    permits: Counter<u64>,
     crashed_runs: Counter<u64>,
     quarantined_parts: Gauge<u64>,
     relayed: Counter<u64>,
@@ -73,6 +75,8 @@
             store_answer_bytes: meter.u64_counter("jacinthlever_store_answer_bytes").build(),
             pausing_servers: meter.u64_gauge("jacinthlever_pausing_servers").build(),
             leaving_servers: meter.u64_gauge("jacinthlever_leaving_servers").build(),
+            cold_servers: meter.u64_gauge("jacinthlever_cold_servers").build(),
+            permits: meter.u64_counter("jacinthlever_permits").build(),
             limited_servers: meter.u64_gauge("jacinthlever_limited_servers").build(),
             crashed_runs: meter.u64_counter("jacinthlever_crashed_runs").build(),
             quarantined_parts: meter.u64_gauge("jacinthlever_quarantined_parts").build(),
@@ -191,6 +195,18 @@
         self.leaving_servers.record(leaving as u64, &[]);
     }
 
+    /// Records the number of cold backend servers of services that have a limit for them.
+    pub fn record_cold_servers(&self, count: usize) {
+        self.cold_servers.record(count as u64, &[]);
+    }
+
+    /// Counts permits for requests to backend servers that an instance asked for, and whether this
+    /// instance has granted them.
+    pub fn count_permits(&self, count: u32, is_granted: bool) {
+        let labels = [KeyValue::new("granted", is_granted)];
+        self.permits.add(count.into(), &labels);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,4 +1,4 @@
-//! Permits for requests to backend servers that name a limit.
+//! Permits for requests to backend servers that name a limit or are cold.
 //!
 //! A limit holds for all instances together, so one instance grants the permits of a server: the
 //! delegate of the server's zone. The others ask it with a datagram before each send.
@@ -49,6 +49,10 @@
     requests: u32,
     /// See [`PermitCall::sent_before`].
     sent_before: u32,
+    /// See [`PermitCall::is_cold`]. Builds without this field grant the permits of such a server as
+    /// those of one that names the rate.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_cold: bool,
 }
 
 /// The answer to a call for permits.
@@ -69,10 +73,11 @@
 
 impl Permits {
     /// Creates an instance without permits. `first_number` differs between processes, so that a late
-    /// answer to a process that has ended is not taken for one to its successor.
-    pub fn new(first_number: u64) -> Self {
+    /// answer to a process that has ended is not taken for one to its successor; `phase` is that of
+    /// the [`PermitLedger`].
+    pub fn new(first_number: u64, phase: f64) -> Self {
         Self {
-            ledger: RefCell::default(),
+            ledger: RefCell::new(PermitLedger::with_phase(phase)),
             calls: RefCell::default(),
             next_number: Cell::new(first_number),
             socket: OnceCell::new(),
@@ -105,20 +110,21 @@
     }
 }
 
-/// Acquires permits to send `requests` requests to a server, if the server names a limit.
+/// Acquires permits to send `requests` requests to a server, if the server names a limit or is cold;
+/// returns whether they were needed.
 ///
 /// # Errors
 /// Fails with [`AT_LIMIT`] or [`NO_PERMIT`]; the server is then not picked for some time.
-pub async fn acquire(cx: &Context, server: ServerKey, requests: u32) -> Result<(), SendError> {
+pub async fn acquire(cx: &Context, server: ServerKey, requests: u32) -> Result<bool, SendError> {
     let Some((call, delegate)) = prepare(cx, server, requests) else {
-        return Ok(());
+        return Ok(false);
     };
     let answer = match delegate {
         Delegate::Own => Some(grant(cx, &call)),
         Delegate::Peer(address) => ask(cx, &call, &address).await,
     };
     let (wait, error) = match answer {
-        Some(Ok(())) => return Ok(()),
+        Some(Ok(())) => return Ok(true),
         Some(Err(wait)) => (wait, AT_LIMIT),
         None => (MIN_WAIT, NO_PERMIT),
     };
@@ -129,6 +135,18 @@
     Err(error)
 }
 
+/// Checks that a request for which no permit was needed when its server was picked may still be sent:
+/// the server may have become cold since.
+///
+/// # Errors
+/// Fails with [`NO_PERMIT`] if it is cold now.
+pub fn check_still_unneeded(cx: &Context, server: ServerKey) -> Result<(), SendError> {
+    match cx.state.borrow().pool.is_cold(cx.now(), server) {
+        true => Err(NO_PERMIT),
+        false => Ok(()),
+    }
+}
+
 /// Reports the requests that this instance has sent to a server before it learned that the server
 /// names a limit: they count against the limit as well.
 pub fn report_earlier_sends(cx: &Context, server: ServerKey) {
@@ -157,6 +175,7 @@
         rate: message.rate,
         requests: message.requests,
         sent_before: message.sent_before,
+        is_cold: message.is_cold,
     };
     let wait_ms = grant(cx, &call).err().map(|wait| wait.as_millis() as u64);
     let answer = PermitAnswer { number, wait_ms };
@@ -164,18 +183,21 @@
 }
 
 /// Returns the call for a server and the instance that grants its permits; `None` if the server
-/// names no limit.
+/// has no limit.
 fn prepare(cx: &Context, server: ServerKey, requests: u32) -> Option<(PermitCall, Delegate)> {
     let now = cx.now();
     let mut state = cx.state.borrow_mut();
     let zone = state.pool.get(server)?.entry.zone.clone();
     let delegate = state.members.delegate_of(now, &zone);
+    let rate = state.pool.rate_limit(now, server)?;
+    let is_cold = state.pool.is_cold(now, server);
     let entry = state.pool.get_mut(server)?;
     let call = PermitCall {
         server: entry.entry.id.clone(),
-        rate: entry.named_limit.rate()?,
+        rate,
         requests,
         sent_before: entry.unreported_sends(now, &delegate),
+        is_cold,
     };
     Some((call, delegate))
 }
@@ -183,8 +205,18 @@
 /// Grants permits from the ledger of this instance or, with an error, returns the time until it may.
 fn grant(cx: &Context, call: &PermitCall) -> Result<(), Duration> {
     let now = cx.now();
-    let share = cx.state.borrow().members.reachable_share(now);
-    cx.permits.ledger.borrow_mut().take(now, share, call)
+    let members = &cx.state.borrow().members;
+    let share = match call.is_cold {
+        true => members.cold_permit_share(now),
+        false => Some(members.reachable_share(now)),
+    };
+    let granted = share.map_or(Err(MIN_WAIT), |share| {
+        cx.permits.ledger.borrow_mut().take(now, share, call)
+    });
+    if call.requests > 0 {
+        cx.metrics.count_permits(call.requests, granted.is_ok());
+    }
+    granted
 }
 
 /// Asks another instance; `None` without an answer.
@@ -209,6 +241,7 @@
         rate: call.rate,
         requests: call.requests,
         sent_before: call.sent_before,
+        is_cold: call.is_cold,
     };
     cx.permits.send(Message::PermitCall(message), to);
     Some(number)
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -31,6 +31,8 @@
     pub pending_id: Option<SmolStr>,
     /// When the engine drops the reservation unless a decode has used it; zero if there is none.
     pub expires_at: Duration,
+    /// Whether permits were acquired for the reservation and the decode.
+    pub has_permits: bool,
 }
 
 impl Reservation {
@@ -47,6 +49,7 @@
             is_prefilling_locally: false,
             pending_id: None,
             expires_at: Duration::ZERO,
+            has_permits: false,
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -95,6 +95,9 @@
         let customers = config.customers.values();
         let quotas = customers.map(|c| (c.name.clone(), c.quota));
         self.quotas.configure(now, quotas);
+        let services = config.services.iter();
+        let cold_rates = services.filter_map(|(name, s)| Some((name.clone(), s.cold_rate?)));
+        self.pool.set_cold_rates(cold_rates.collect());
         self.config_freshness.row = row;
         self.config = Some(Rc::new(config));
         true
--- a/crates/gateway/src/table_updates.rs
+++ b/crates/gateway/src/table_updates.rs
@@ -6,6 +6,7 @@
 use jacinthlever_routing::ServerState;
 use smol_str::SmolStr;
 
+use crate::cold_servers;
 use crate::context::Context;
 use crate::freshness::TableChange;
 use crate::{EventCode, Row, Rows, Table};
@@ -122,7 +123,8 @@
             ("row", row.version.into()),
         ],
     );
-    cx.state.borrow_mut().pool.register(entry);
+    let server = cx.state.borrow_mut().pool.register(entry);
+    cold_servers::record_registration(cx, server, row.version);
     cx.engine_versions_changed.notify_one();
     cx.capacity_queue.notify_waiters();
 }
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -95,6 +95,8 @@
     pub engine: Option<EngineSpec>,
     /// Path of the servers' health check; empty if none is declared.
     pub health_path: SmolStr,
+    /// Requests per second that a cold backend server tolerates; `None` without a limit.
+    pub cold_rate: Option<f64>,
 }
 
 /// Fraction of a server's connections that may be idle; the others are left for calls in progress.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod burst_pacer;
 mod capacity_policy;
 mod catch_up;
+mod coldness;
 mod config;
 mod customer_charges;
 mod event_stream;
@@ -39,6 +40,7 @@
 pub use burst_pacer::BurstPacer;
 pub use capacity_policy::CapacityPolicy;
 pub use catch_up::CatchUp;
+pub use coldness::{ColdChange, ColdSource, Coldness};
 pub use config::{
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
 };
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -584,6 +584,25 @@
         (reachable as f64 / self.fleet_size(now) as f64).min(1.0)
     }
 
+    /// Returns the fraction of the fleet for which this instance may grant permits for cold servers;
+    /// `None` while it may grant none.
+    ///
+    /// Lower than [`Membership::reachable_share`] where that one may be too high for a moment. All
+    /// registered instances count as part of the fleet, since those that start together know few
+    /// others and may each take themselves for the delegate; and a zone counts as cut off as soon as
+    /// a peer does, so that instances that are cut off one by one do not grant its part as well.
+    pub fn cold_permit_share(&self, now: Duration) -> Option<f64> {
+        if !self.is_introduced(now) {
+            return None;
+        }
+        let zones = self.zones.values();
+        let heard = zones.filter(|z| now < z.received_at + UNREACHABLE_AFTER);
+        let remote: usize = heard.map(|z| z.digest.reachable).sum();
+        let reachable = self.zone_reachable(now) + remote;
+        let size = self.registered.len().max(self.fleet_size(now));
+        Some((reachable as f64 / size as f64).min(1.0))
+    }
+
     /// Returns the number of instances in another zone: according to its digest or, without a
     /// recent one, according to the registrations.
     fn other_zone_size(&self, now: Duration, zone: &str) -> usize {
--- a/crates/routing/src/permit_ledger.rs
+++ b/crates/routing/src/permit_ledger.rs
@@ -39,12 +39,16 @@
     /// Number of requests that the caller has sent without permits within
     /// [`COUNTED_BEFORE_LIMIT`] before it learned of the limit, unless it has reported them.
     pub sent_before: u32,
+    /// Whether the server is cold, so that more requests in a second than it tolerates end it.
+    pub is_cold: bool,
 }
 
 /// The permits of the servers for which this instance grants them.
 #[derive(Debug, Default)]
 pub struct PermitLedger {
     buckets: BTreeMap<SmolStr, Bucket>,
+    /// Random number in `0.0..1.0`.
+    phase: f64,
 }
 
 #[derive(Debug)]
@@ -59,20 +63,36 @@
 }
 
 impl PermitLedger {
+    /// Creates a ledger without permits. `phase` is a random number in `0.0..1.0` that differs between
+    /// instances.
+    pub fn with_phase(phase: f64) -> Self {
+        Self {
+            phase,
+            ..Self::default()
+        }
+    }
+
     /// Grants permits or, with an error, returns the time until they may be granted.
     ///
     /// `share` is the reachable fraction of the fleet: parts of a fleet that are cut off from each
     /// other grant permits on their own, and together not more than the limit. A new bucket is
     /// empty, since another instance may have granted permits a moment ago.
+    ///
+    /// A part of the fleet with a small share would grant its first permit for a cold server at the
+    /// same moment as all other such parts. Its bucket starts below empty by up to one permit, so that
+    /// the first permits of all parts are spread over the time in which each of them gets one.
     pub fn take(&mut self, now: Duration, share: f64, call: &PermitCall) -> Result<(), Duration> {
         self.buckets
             .retain(|_, bucket| now < bucket.refilled_at + IDLE_TIME);
         let rate = call.rate.max(MIN_RATE) * share;
         let requests = f64::from(call.requests);
-        let bucket = self
-            .buckets
-            .entry(call.server.clone())
-            .or_insert_with(|| Bucket::new(now));
+        let bucket =
+            self.buckets
+                .entry(call.server.clone())
+                .or_insert_with(|| match call.is_cold {
+                    true => Bucket::new(now, -self.phase * (1.0 - share)),
+                    false => Bucket::new(now, 0.0),
+                });
         let capacity = (rate * BURST.as_secs_f64()).max(requests).max(1.0);
         bucket.refill(now, rate, capacity);
         if call.sent_before > 0 {
@@ -88,9 +108,9 @@
 }
 
 impl Bucket {
-    fn new(now: Duration) -> Self {
+    fn new(now: Duration, level: f64) -> Self {
         Self {
-            level: 0.0,
+            level,
             refilled_at: now,
             sent_before: 0.0,
             deducted: 0.0,
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -6,7 +6,7 @@
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 
-use crate::{COUNTED_BEFORE_LIMIT, Delegate, LIMIT_NOTICE, NamedLimit, RequestedPause};
+use crate::{COUNTED_BEFORE_LIMIT, Coldness, Delegate, LIMIT_NOTICE, NamedLimit, RequestedPause};
 
 new_key_type! {
     /// Key of a backend server in a [`ServerPool`](crate::ServerPool).
@@ -55,6 +55,8 @@
     pub role: Option<EngineRole>,
     /// Start time of the process, in milliseconds of Unix time; `None` if it is not registered.
     pub started_ms: Option<u64>,
+    /// Time for which the server stays cold; its age is not known.
+    pub cold_for: Duration,
 }
 
 /// The outcome of a call to a backend server, as far as it concerns the server's health.
@@ -123,6 +125,8 @@
     pub requested_pause: RequestedPause,
     /// Request limit that the server names.
     pub named_limit: NamedLimit,
+    /// How long the server stays cold.
+    pub coldness: Coldness,
     /// Time before which no permit for a request to the server is expected.
     pub permits_from: Duration,
     /// Times of the latest sends without a permit.
@@ -160,6 +164,7 @@
             is_leaving: false,
             requested_pause: RequestedPause::default(),
             named_limit: NamedLimit::default(),
+            coldness: Coldness::default(),
             permits_from: Duration::ZERO,
             unlimited_sends: VecDeque::new(),
             earlier_sends: EarlierSends::default(),
@@ -261,11 +266,22 @@
         self.entry.state == ServerState::Ready && !self.is_leaving
     }
 
+    /// Returns the requests per second that the server takes from all instances together: the limit
+    /// that it names or, while it is cold, that of its service, whichever is lower. `None` without a
+    /// limit.
+    ///
+    /// `cold_rate` is what cold servers of the service tolerate, in requests per second.
+    pub fn rate_limit(&self, now: Duration, cold_rate: Option<f64>) -> Option<f64> {
+        let cold = self.coldness.rate_limit(now, cold_rate);
+        let named = self.named_limit.rate();
+        cold.into_iter().chain(named).reduce(f64::min)
+    }
+
     /// Records a send to the server; the latest ones without a permit count against a limit that
-    /// the server names.
-    pub fn record_send(&mut self, now: Duration) {
+    /// the server names. `cold_rate` is as for [`Server::rate_limit`].
+    pub fn record_send(&mut self, now: Duration, cold_rate: Option<f64>) {
         self.requested_pause.record_send(now);
-        if self.named_limit.rate().is_some() {
+        if self.rate_limit(now, cold_rate).is_some() {
             return;
         }
         self.drop_old_sends(now);
@@ -305,8 +321,10 @@
 
     /// Returns the time for which the server takes no requests of this instance, because of a pause
     /// that it asked for or because the permits for it are used up; `None` if it takes them.
-    pub fn wait_before_requests(&self, now: Duration) -> Option<Duration> {
-        let permits_from = self.named_limit.rate().map(|_| self.permits_from);
+    /// `cold_rate` is as for [`Server::rate_limit`].
+    pub fn wait_before_requests(&self, now: Duration, cold_rate: Option<f64>) -> Option<Duration> {
+        let limit = self.rate_limit(now, cold_rate);
+        let permits_from = limit.map(|_| self.permits_from);
         let for_permit = permits_from.and_then(|at| at.checked_sub(now));
         let for_permit = for_permit.filter(|wait| !wait.is_zero());
         self.requested_pause.wait(now).max(for_permit)
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -7,8 +7,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    CallOutcome, EngineRole, LimitChange, LimitStatement, Server, ServerEntry, ServerKey,
-    ServerState, VersionNotes, Versions,
+    CallOutcome, ColdChange, EngineRole, LimitChange, LimitStatement, Server, ServerEntry,
+    ServerKey, ServerState, VersionNotes, Versions,
 };
 
 /// Time for which a registration is still used that expired while the store was unreachable.
@@ -109,6 +109,9 @@
     versions: BTreeMap<(SmolStr, SmolStr), Duration>,
     /// Versions that the store lists; `None` if they are not kept there.
     notes: Option<VersionNotes>,
+    /// Requests per second that cold servers tolerate, by service; services without a limit are left
+    /// out.
+    cold_rates: BTreeMap<SmolStr, f64>,
 }
 
 impl ServerPool {
@@ -117,6 +120,70 @@
         self.notes = Some(notes);
     }
 
+    /// Replaces the requests per second that cold servers tolerate, by service.
+    pub fn set_cold_rates(&mut self, cold_rates: BTreeMap<SmolStr, f64>) {
+        self.cold_rates = cold_rates;
+    }
+
+    fn cold_rate(&self, server: &Server) -> Option<f64> {
+        self.cold_rates.get(&server.entry.service).copied()
+    }
+
+    /// Returns the requests per second that a server takes from all instances together, as
+    /// [`Server::rate_limit`].
+    pub fn rate_limit(&self, now: Duration, key: ServerKey) -> Option<f64> {
+        let server = self.servers.get(key)?;
+        server.rate_limit(now, self.cold_rate(server))
+    }
+
+    /// Whether a server is cold, and its service has a limit for cold servers.
+    pub fn is_cold(&self, now: Duration, key: ServerKey) -> bool {
+        let server = self.servers.get(key);
+        server.is_some_and(|s| s.coldness.rate_limit(now, self.cold_rate(s)).is_some())
+    }
+
+    /// Returns the number of cold servers of services that have a limit for them.
+    pub fn cold_servers(&self, now: Duration) -> usize {
+        let keys = self.servers.keys();
+        keys.filter(|key| self.is_cold(now, *key)).count()
+    }
+
+    /// Returns the servers of services with a limit for cold servers that have become cold or warm
+    /// since the last call.
+    pub fn take_cold_changes(&mut self, now: Duration) -> Vec<(SmolStr, ColdChange)> {
+        let Self {
+            servers,
+            cold_rates,
+            ..
+        } = self;
+        let servers = servers.values_mut();
+        let limited = servers.filter(|s| cold_rates.contains_key(&s.entry.service));
+        let changes = limited.filter_map(|s| {
+            let change = s.coldness.take_change(now)?;
+            Some((s.entry.id.clone(), change))
+        });
+        changes.collect()
+    }
+
+    /// Records a send to a server; see [`Server::record_send`].
+    pub fn record_send(&mut self, now: Duration, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            let cold_rate = self.cold_rates.get(&server.entry.service).copied();
+            server.record_send(now, cold_rate);
+        }
+    }
+
+    fn wait_before_requests(&self, now: Duration, server: &Server) -> Option<Duration> {
+        server.wait_before_requests(now, self.cold_rate(server))
+    }
+
+    fn limited_cost(&self, now: Duration, server: &Server, cost: f64) -> f64 {
+        match server.rate_limit(now, self.cold_rate(server)) {
+            Some(_) => cost,
+            None => 0.0,
+        }
+    }
+
     /// Returns the versions that the store lists; `None` if they are not kept there.
     pub fn notes_mut(&mut self) -> Option<&mut VersionNotes> {
         self.notes.as_mut()
@@ -345,12 +412,12 @@
             let slots = f64::from(s.entry.slots.max(1));
             let load = f64::from(s.load(pick.now)) / slots;
             load + pick.remote_zone_cost(s, REMOTE_ZONE_COST)
-                + limited_cost(s, LIMITED_COST)
+                + self.limited_cost(pick.now, s, LIMITED_COST)
                 + medians.penalty(pick.now, s)
         };
         self.available(pick.service)
             .filter(|(key, s)| {
-                !pick.avoid.contains(key) && s.wait_before_requests(pick.now).is_none()
+                !pick.avoid.contains(key) && self.wait_before_requests(pick.now, s).is_none()
             })
             .map(|(key, s)| (cost(s) + PLAIN_JITTER * draw(), key))
             .min_by(|a, b| a.0.total_cmp(&b.0))
@@ -376,7 +443,7 @@
             let prefill = s.expected_prefill_time(pick.now, tokens).as_secs_f64();
             prefill
                 + pick.remote_zone_cost(s, REMOTE_ZONE_PREFILL_COST_S)
-                + limited_cost(s, LIMITED_PREFILL_COST_S)
+                + self.limited_cost(pick.now, s, LIMITED_PREFILL_COST_S)
                 + failures
                 + PREFILL_JITTER_S * draw()
         };
@@ -404,7 +471,7 @@
             let used = s.reserved_tokens(pick.now) as f64 / memory as f64;
             let penalty = DECODE_PENALTY_FACTOR * medians.penalty(pick.now, s);
             used + pick.remote_zone_cost(s, REMOTE_ZONE_DECODE_COST)
-                + limited_cost(s, LIMITED_COST)
+                + self.limited_cost(pick.now, s, LIMITED_COST)
                 + penalty
                 + DECODE_JITTER * draw()
         };
@@ -426,7 +493,7 @@
     ) -> impl Iterator<Item = (ServerKey, &'a Server)> {
         self.available(pick.service)
             .filter(move |(key, s)| s.entry.role == Some(role) && !pick.avoid.contains(key))
-            .filter(move |(_, s)| s.wait_before_requests(pick.now).is_none())
+            .filter(move |(_, s)| self.wait_before_requests(pick.now, s).is_none())
     }
 
     /// Records that a server leaves; returns whether that is new.
@@ -452,7 +519,7 @@
     pub fn wait_for_service(&self, now: Duration, service: &str) -> Option<Duration> {
         let waits = self
             .available(service)
-            .map(|(_, s)| s.wait_before_requests(now));
+            .map(|(_, s)| self.wait_before_requests(now, s));
         waits.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
@@ -603,13 +670,6 @@
     }
 }
 
-fn limited_cost(server: &Server, cost: f64) -> f64 {
-    match server.named_limit.rate() {
-        Some(_) => cost,
-        None => 0.0,
-    }
-}
-
 /// Returns the median or, of two middle values, the lower one, so that the worse of two servers
 /// exceeds it.
 fn lower_median(values: &mut [f64]) -> Option<f64> {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -23,6 +23,7 @@
         state: ServerState::Ready,
         role,
         started_ms: Some(1),
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/routing/tests/routes.rs
+++ b/crates/routing/tests/routes.rs
@@ -112,6 +112,7 @@
         health_path: "/health".into(),
         max_connections: 96,
         engine: None,
+        cold_rate: None,
     };
     assert_eq!(service.max_idle_connections(6), 8);
     for instances in 1..400 {
--- a/crates/routing/tests/server_limits.rs
+++ b/crates/routing/tests/server_limits.rs
@@ -25,6 +25,7 @@
         rate,
         requests: u32::from(sent_before == 0),
         sent_before,
+        is_cold: false,
     }
 }
 
