--- a/crates/routing/tests/evacuations.rs
+++ b/crates/routing/tests/evacuations.rs
@@ -33,11 +33,9 @@
             rows.retain(|(z, _)| *z != zone);
             rows.push((zone, EvacuationStatement { version, is_active }));
             merge_all(&rows, &mut fleet[0]);
-            for sender in 0..count {
-                let known: Vec<_> = fleet[sender]
-                    .statements()
-                    .map(|(zone, s)| (zone.clone(), s))
-                    .collect();
+            for evacuations in &fleet {
+                let statements = evacuations.statements();
+                let known = statements.map(|(zone, s)| (zone.clone(), s)).collect();
                 late.push((rng.random_range(0..count), known));
             }
             if rng.random_bool(0.1) {
