Switch for scheduling by load, cost and rate

Deployments whose demand may exceed their capacity need other placement and admission than the rest, which must behave as before.

State::is_scheduling_active() is the one question to ask; nothing asks it yet. Event JL1006 logs each change.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -8,9 +8,13 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::TranslateSettings;
+
 /// Functions that translate between one platform's formats and the types of this crate.
 #[derive(Clone, Copy)]
 pub struct Adapter {
+    /// Translates the platform's fields of the settings file.
+    pub translate_settings: TranslateSettings,
     /// Between callers and this instance.
     pub callers: CallerDialect,
     /// Between this instance and backend servers.
@@ -204,12 +208,15 @@
 }
 
 /// Load of a backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerLoad {
     /// Number of requests that are running.
     pub running: u32,
     /// Number of requests that are waiting.
     pub waiting: u32,
+    /// Time that work takes on the server now, as a multiple of the usual time; `None` if the answer
+    /// does not state it.
+    pub slowdown: Option<f64>,
 }
 
 /// Result of a prefill.
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::context::Context;
+use crate::scheduling;
 use crate::{EventCode, Settings};
 
 /// Time after SIGTERM during which new connections are accepted, since callers use this instance
@@ -83,9 +84,10 @@
 }
 
 fn reload(cx: &Context, path: &Path) {
-    match Settings::open(path) {
+    match Settings::open(path, cx.adapter.translate_settings) {
         Ok(settings) => {
             let is_new = settings != *cx.settings();
+            scheduling::configure(cx, &settings);
             *cx.settings.borrow_mut() = Rc::new(settings);
             cx.log(EventCode::Reloaded, [("changed", is_new.into())]);
         }
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -14,6 +14,8 @@
     Reloaded = 1004,
     /// The settings file was read again and cannot be used; the previous settings stay in force.
     ReloadFailed = 1005,
+    /// Scheduling by load, cost and rate was turned on or off.
+    SchedulingChanged = 1006,
     /// The store answers again after it had not.
     StoreRegained = 1101,
     /// A call to the store failed; logged once until the store answers again.
@@ -116,12 +118,13 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 54] = [
+    pub const ALL: [Self; 55] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
         Self::Reloaded,
         Self::ReloadFailed,
+        Self::SchedulingChanged,
         Self::StoreRegained,
         Self::StoreLost,
         Self::RowUnreadable,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use crate::permits;
 use crate::reach;
 use crate::relay::UNREACHED_HEADER;
+use crate::scheduling;
 use crate::sends::SendTicket;
 use crate::server_limits;
 use crate::{AnswerHead, EngineRequest, EventCode, ServerHeaders};
@@ -299,6 +300,10 @@
             if let Some(s) = state.pool.get_mut(server) {
                 s.record_load(now, load.running + load.waiting);
             }
+            drop(state);
+            if load.slowdown.is_some() {
+                scheduling::record_slowdown_stated(cx);
+            }
         }
         if head.is_other_server {
             cx.record_outcome(server, CallOutcome::Unresponsive);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod replacement;
 mod reservation;
 mod role_coordinator;
+mod scheduling;
 mod sends;
 mod server_limits;
 mod settings;
@@ -69,4 +70,6 @@
 pub use event_code::EventCode;
 pub use event_log::EventLog;
 pub use instance::Instance;
-pub use settings::{Bounds, Listen, Planning, Settings, SettingsError, StoreSettings};
+pub use settings::{
+    Bounds, Listen, Planning, Scheduling, Settings, SettingsError, StoreSettings, TranslateSettings,
+};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde_json::{Map, Value};
 use smol_str::SmolStr;
 
 /// Settings of one instance.
@@ -35,6 +36,18 @@
     /// Size and cost of a typical generation.
     #[serde(default)]
     pub planning: Planning,
+    /// Placement and admission by shared load, cost and rate.
+    #[serde(default)]
+    pub scheduling: Scheduling,
+}
+
+/// Placement and admission by shared load, cost and rate; see `docs/design/placement-by-cost.md`.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Scheduling {
+    /// Whether it is used from the start. Otherwise it is used once a backend server states its
+    /// slowdown.
+    pub is_active: bool,
 }
 
 /// Size and cost of a typical generation, from which the role plan of the engines is computed.
@@ -172,22 +185,33 @@
 
 impl std::error::Error for SettingsError {}
 
+/// Replaces the fields of a settings file that only the platform knows by fields of [`Settings`].
+pub type TranslateSettings = fn(&mut Map<String, Value>);
+
 /// Minimum number of descriptors with which an instance can work.
 const MIN_DESCRIPTORS: usize = 256;
 
 impl Settings {
-    /// Reads and validates a settings file.
+    /// Reads and validates a settings file, whose platform fields `translate` replaces by fields of
+    /// this type.
     ///
     /// # Errors
     /// Fails if the file cannot be read or parsed, or if a field has an invalid value; the error
     /// names the file, the field and the valid values.
-    pub fn open(path: &Path) -> Result<Self, SettingsError> {
+    pub fn open(path: &Path, translate: TranslateSettings) -> Result<Self, SettingsError> {
         let file = path.display().to_string();
         let text = fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
             file: file.clone(),
             cause: error.to_string(),
         })?;
-        Self::parse(&file, &text)
+        let malformed = |error: serde_json::Error| SettingsError::Malformed {
+            file: file.clone(),
+            cause: error.to_string(),
+        };
+        let mut fields = serde_json::from_str(&text).map_err(malformed)?;
+        translate(&mut fields);
+        let settings = Value::Object(fields);
+        Self::validate(&file, serde_json::from_value(settings).map_err(malformed)?)
     }
 
     /// Parses and validates the text of a settings file; `file` is its name for errors.
@@ -196,11 +220,14 @@
     /// Fails if the text cannot be parsed or if a field has an invalid value; the error names the
     /// file, the field and the valid values.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let settings: Self =
-            serde_json::from_str(text).map_err(|error| SettingsError::Malformed {
-                file: file.into(),
-                cause: error.to_string(),
-            })?;
+        let settings = serde_json::from_str(text).map_err(|error| SettingsError::Malformed {
+            file: file.into(),
+            cause: error.to_string(),
+        })?;
+        Self::validate(file, settings)
+    }
+
+    fn validate(file: &str, settings: Self) -> Result<Self, SettingsError> {
         match settings.first_invalid() {
             None => Ok(settings),
             Some((field, expected)) => Err(SettingsError::Invalid {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -67,6 +67,11 @@
     pub servers_recovered_at: Option<Duration>,
     /// Whether the process is shutting down.
     pub is_draining: bool,
+    /// Whether the settings turn scheduling by load, cost and rate on.
+    pub is_scheduling_configured: bool,
+    /// Whether a backend server has stated its slowdown since the start of the process, which turns
+    /// scheduling on as well.
+    pub is_slowdown_stated: bool,
 }
 
 impl State {
@@ -82,10 +87,16 @@
                 true => QuotaLedger::default(),
                 false => QuotaLedger::following_another(),
             },
+            is_scheduling_configured: settings.scheduling.is_active,
             ..Self::default()
         }
     }
 
+    /// Whether requests are placed and admitted by shared load, cost and rate.
+    pub fn is_scheduling_active(&self) -> bool {
+        self.is_scheduling_configured || self.is_slowdown_stated
+    }
+
     /// Puts the configuration of a row in force, unless the present one is as new or newer. Returns
     /// whether it did.
     pub fn apply(&mut self, now: Duration, row: u64, config: FleetConfig) -> bool {
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -83,6 +83,22 @@
 
 #[test]
 fn the_error_for_a_missing_file_names_it() {
-    let error = Settings::open(std::path::Path::new("/none/settings.json"));
+    let error = Settings::open(std::path::Path::new("/none/settings.json"), |_| {});
     assert!(matches!(error, Err(SettingsError::Unreadable { file, .. }) if file.contains("none")));
 }
+
+/// Guards against a default that turns scheduling on, and against a misspelt switch that is ignored.
+#[test]
+fn scheduling_is_off_unless_it_is_stated() {
+    let parsed = |scheduling: Option<Value>| {
+        let mut settings = settings();
+        if let Some(scheduling) = scheduling {
+            settings["scheduling"] = scheduling;
+        }
+        Settings::parse("file", &settings.to_string()).map(|s| s.scheduling.is_active)
+    };
+    assert_eq!(parsed(None), Ok(false));
+    assert_eq!(parsed(Some(json!({}))), Ok(false));
+    assert_eq!(parsed(Some(json!({ "is_active": true }))), Ok(true));
+    assert!(parsed(Some(json!({ "active": true }))).is_err());
+}
