Placement of plain requests by shared load and rate, and learned output

Each instance of a large fleet sees few answers of each server, so it sends to servers that others have filled: their queues refuse requests. The fixed margin on the callers' hints reserves engine memory that is not used.

While scheduling is active, instances share the loads that servers of plain services state (field loads of reports and digests, at most 32, fresher than 600 ms, each sent once). pick_plain_by_cost weighs load and rate, and makes differences random that may be outdated. A request waits once, for up to half of what is left of its target, if all servers have just refused requests and it can still be in time. The load of a server that refuses with free slots is not used for 10 s. The margin on hints is learned by route, customer and magnitude. Learned rates are discarded when the slowdown changes by half. Without the switch, messages, picks and reservations are as before.

--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -112,13 +112,15 @@
     StreamsLoaded = 1523,
     /// A backend server sent the answer of another request where this one's was expected.
     ForeignAnswer = 1524,
+    /// All servers of a service have just refused requests, and a request waits for the first of them.
+    ServersFull = 1540,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 55] = [
+    pub const ALL: [Self; 56] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -173,6 +175,7 @@
         Self::RetryDenied,
         Self::StreamsLoaded,
         Self::ForeignAnswer,
+        Self::ServersFull,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,9 +25,9 @@
 use crate::permits;
 use crate::reach;
 use crate::relay::UNREACHED_HEADER;
-use crate::scheduling;
 use crate::sends::SendTicket;
 use crate::server_limits;
+use crate::shared_loads;
 use crate::{AnswerHead, EngineRequest, EventCode, ServerHeaders};
 
 /// Maximum size of an answer that is buffered as a whole, in bytes.
@@ -296,14 +296,7 @@
             return Err(error);
         }
         if let Some(load) = head.load {
-            let mut state = cx.state.borrow_mut();
-            if let Some(s) = state.pool.get_mut(server) {
-                s.record_load(now, load.running + load.waiting);
-            }
-            drop(state);
-            if load.slowdown.is_some() {
-                scheduling::record_slowdown_stated(cx);
-            }
+            shared_loads::record(cx, server, load);
         }
         if head.is_other_server {
             cx.record_outcome(server, CallOutcome::Unresponsive);
@@ -320,7 +313,7 @@
             // The body is read so that the connection can be reused.
             self.deadline = self.deadline.min(now + REFUSAL_BODY_TIMEOUT);
             drop(self.read_body(MAX_ANSWER_BYTES).await);
-            return Err(SendError::NotRun("server has no room"));
+            return Err(NO_ROOM);
         }
         let Some(caller_send) = caller_send else {
             return Ok(self);
@@ -400,6 +393,9 @@
 /// the limits that they name or the pauses that they ask for.
 pub const NO_SERVER_NOW: &str = "no server takes requests for now";
 
+/// The server has refused the request for lack of capacity.
+pub const NO_ROOM: SendError = SendError::NotRun("server has no room");
+
 /// No connection to the server could be opened.
 pub const NO_CONNECTION: SendError = SendError::Unsent("no connection");
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -9,7 +9,7 @@
 
 use http::{HeaderMap, Response, StatusCode};
 use jacinthlever_routing::{
-    CallOutcome, CapacityPolicy, EngineRole, EngineSpec, PickParams, ServerKey,
+    CallOutcome, CapacityPolicy, EngineRole, EngineSpec, OutputEstimates, PickParams, ServerKey,
 };
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -64,9 +64,6 @@
 /// Maximum number of rounds of reservation, prefill and decode for one attempt of a caller.
 const MAX_ROUNDS: u32 = 3;
 
-/// Factor by which the caller's estimate of the output is raised for the reservation.
-const ESTIMATE_MARGIN: f64 = 1.4;
-
 /// A request to a model, with what has been tried for it.
 pub struct Generation {
     cx: Rc<Context>,
@@ -557,9 +554,16 @@
         let Some(size) = self.req.headers.generation else {
             return 0;
         };
-        let expected = size.expected_output.map_or(size.max_output, |hint| {
-            ((hint as f64 * ESTIMATE_MARGIN) as u64).min(size.max_output)
-        });
+        let (hint, max_output) = (size.expected_output, size.max_output);
+        let state = self.cx.state.borrow();
+        let expected = match state.is_scheduling_active() {
+            true => {
+                let (route, customer) = (&self.req.route.name, self.req.customer_name());
+                let estimates = &state.output_estimates;
+                estimates.expected(route, customer, hint, max_output)
+            }
+            false => OutputEstimates::unlearned(hint, max_output),
+        };
         size.prompt_tokens + expected
     }
 
@@ -862,6 +866,24 @@
         stall_ms <= allowed.as_secs_f64() * 1000.0 && reservation.may_prefill_locally()
     }
 
+    /// Learns from a stream that has ended as a whole after at most `output` tokens, unless its caller took
+    /// it up and so received a part of it before. Its last event has half as many tokens as others on
+    /// average.
+    pub fn record_output(&self, output: u64) {
+        let size = self.req.headers.generation;
+        let Some(hint) = size.and_then(|size| size.expected_output) else {
+            return;
+        };
+        let mut state = self.cx.state.borrow_mut();
+        if output == 0 || self.is_taken_up() || !state.is_scheduling_active() {
+            return;
+        }
+        let output = output.saturating_sub(self.tokens_per_event() / 2);
+        let (route, customer) = (&self.req.route.name, self.req.customer_name());
+        let estimates = &mut state.output_estimates;
+        estimates.record(self.cx.now(), route, customer, hint, output);
+    }
+
     /// Returns the number of tokens of the prompt.
     pub fn prompt_tokens(&self) -> u64 {
         self.req.headers.generation.map_or(0, |g| g.prompt_tokens)
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -118,6 +118,9 @@
             state.pool.leaving().count(),
         );
         cx.metrics.record_lost_services(state.lost_services().len());
+        if state.is_scheduling_active() {
+            cx.metrics.record_known_loads(state.pool.known_loads(now));
+        }
         drop(state);
         cx.connection_pool.evict_expired(now);
         cx.relays.evict_expired(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod sends;
 mod server_limits;
 mod settings;
+mod shared_loads;
 mod state;
 mod store;
 mod store_version;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,9 @@
     relayed: Counter<u64>,
     retries: Counter<u64>,
     lost_services: Gauge<u64>,
+    known_loads: Gauge<u64>,
+    full_waits: Counter<u64>,
+    discarded_rates: Counter<u64>,
 }
 
 impl Metrics {
@@ -79,6 +82,9 @@
             relayed: meter.u64_counter("jacinthlever_relayed_requests").build(),
             retries: meter.u64_counter("jacinthlever_retries").build(),
             lost_services: meter.u64_gauge("jacinthlever_lost_services").build(),
+            known_loads: meter.u64_gauge("jacinthlever_known_loads").build(),
+            full_waits: meter.u64_counter("jacinthlever_full_waits").build(),
+            discarded_rates: meter.u64_counter("jacinthlever_discarded_rates").build(),
             registry,
             _provider: provider,
         })
@@ -178,6 +184,23 @@
         self.lost_services.record(count as u64, &[]);
     }
 
+    /// Records the number of backend servers whose load is known, from their answers to this instance or
+    /// to others.
+    pub fn record_known_loads(&self, count: usize) {
+        self.known_loads.record(count as u64, &[]);
+    }
+
+    /// Counts a request for a service that waits, since all servers have just refused requests.
+    pub fn count_full_wait(&self, service: &str) {
+        let labels = [KeyValue::new("service", service.to_string())];
+        self.full_waits.add(1, &labels);
+    }
+
+    /// Counts a backend server whose slowdown has changed so much that its learned rates are discarded.
+    pub fn count_discarded_rates(&self) {
+        self.discarded_rates.add(1, &[]);
+    }
+
     /// Records the number of sets of prompt parts that are quarantined.
     pub fn record_quarantined_parts(&self, count: usize) {
         self.quarantined_parts.record(count as u64, &[]);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use jacinthlever_routing::{
-    CustomerCharges, DigestOutcome, Fingerprint, ForwardingGroup, LostServices, Member,
+    CustomerCharges, DigestOutcome, Fingerprint, ForwardingGroup, LoadOrigin, LostServices, Member,
     MemberStatus, QuotaLedger, ReportOutcome, ReportSchedule, ZoneDigest,
 };
 use serde::{Deserialize, Serialize};
@@ -30,6 +30,7 @@
 use crate::quarantine::{self, SharedPart};
 use crate::registry::own_member;
 use crate::server_limits::{self, SharedLimit};
+use crate::shared_loads::{self, SharedLoad};
 use crate::stream_origins::{self, OriginAnswer, OriginCall, StreamBegan};
 use crate::table_updates::apply_peer_changes;
 use crate::zone_news::ZoneNews;
@@ -123,6 +124,9 @@
     /// Whether this instance understands [`Message::Forward`].
     #[serde(default)]
     forwards_digests: bool,
+    /// Loads that servers have stated to this instance lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    loads: Vec<SharedLoad>,
 }
 
 impl Report {
@@ -193,6 +197,9 @@
     /// When the delegate made the digest: Unix time of its start and its uptime, in milliseconds.
     #[serde(default)]
     made_ms: u64,
+    /// Loads that servers have stated to the zone lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    loads: Vec<SharedLoad>,
 }
 
 impl Digest {
@@ -248,7 +255,12 @@
 
     fn recent(&mut self, now: Duration) -> Vec<Digest> {
         self.0.retain(|(at, _)| now < *at + DIGEST_FORWARD_PERIOD);
-        self.0.iter().map(|(_, digest)| digest.clone()).collect()
+        let aged = self.0.iter().map(|(at, digest)| {
+            let mut digest = digest.clone();
+            shared_loads::add_age(&mut digest.loads, now.saturating_sub(*at));
+            digest
+        });
+        aged.collect()
     }
 }
 
@@ -372,7 +384,10 @@
 fn report(cx: &Context) -> Report {
     let settings = cx.settings();
     let now = cx.now();
-    let server_changes = cx.state.borrow_mut().server_changes.recent(now);
+    let mut state = cx.state.borrow_mut();
+    let server_changes = state.server_changes.recent(now);
+    let loads = shared_loads::for_report(&mut state, now);
+    drop(state);
     let state = cx.state.borrow();
     let member = own_member(&settings);
     Report {
@@ -395,12 +410,14 @@
         suspect_parts: quarantine::recent(&state, now),
         lost_services: state.lost_services(),
         forwards_digests: true,
+        loads,
     }
 }
 
 fn digest(cx: &Context) -> Digest {
     let settings = cx.settings();
     let now = cx.now();
+    let loads = shared_loads::for_digest(&mut cx.state.borrow_mut(), now);
     let state = cx.state.borrow();
     let member = own_member(&settings);
     let mut ready = state.members.ready_zone_addresses(now);
@@ -429,6 +446,7 @@
         suspect_parts: quarantine::recent(&state, now),
         lost_services,
         made_ms: cx.incarnation + now.as_millis() as u64,
+        loads,
     }
 }
 
@@ -544,6 +562,7 @@
     server_limits::merge(cx, &report.limits);
     departures::merge(cx, &report.departures);
     quarantine::merge(cx, &report.suspect_parts);
+    shared_loads::merge(cx, &report.loads, LoadOrigin::Zone);
     for digest in &report.digests {
         apply_digest(cx, digest);
     }
@@ -579,6 +598,7 @@
     server_limits::merge(cx, &digest.limits);
     departures::merge(cx, &digest.departures);
     quarantine::merge(cx, &digest.suspect_parts);
+    shared_loads::merge(cx, &digest.loads, LoadOrigin::OtherZone);
     outcome
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -11,19 +11,19 @@
 use jacinthlever_routing::{CallOutcome, PickParams, RouteKind, ServerKey, is_whole_stream};
 use tokio::time::sleep;
 
-use crate::ServerHeaders;
 use crate::answer::{AnswerBody, OUT_OF_REACH, Verdict};
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::exchange::{
-    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_CONNECTION, NO_SERVER_NOW, SendError, TIMED_OUT,
-    implies_not_run, log_send_failure,
+    Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_CONNECTION, NO_ROOM, NO_SERVER_NOW, SendError,
+    TIMED_OUT, implies_not_run, log_send_failure,
 };
 use crate::reach;
 use crate::relay::{self, NO_RELAY};
 use crate::sends::SendTicket;
 use crate::stream::BROKEN_OFF;
 use crate::suspects::{self, BrokenRun};
+use crate::{EventCode, ServerHeaders};
 
 /// Multiple of the latency target after which an idempotent request is also sent to a second
 /// server.
@@ -67,6 +67,10 @@
     cx: Rc<Context>,
     req: Rc<CallerRequest>,
     tried: Vec<ServerKey>,
+    /// Those of them that refused the request for lack of capacity.
+    refused: Vec<ServerKey>,
+    /// Whether the request has waited since all servers were full.
+    has_waited: bool,
     /// Number of finished attempts that may have run the request.
     possible_runs: u32,
     attempts: FuturesUnordered<Attempt>,
@@ -88,6 +92,8 @@
         cx,
         req,
         tried: Vec::new(),
+        refused: Vec::new(),
+        has_waited: false,
         possible_runs: 0,
         attempts: FuturesUnordered::new(),
         last_failure: None,
@@ -104,8 +110,13 @@
 impl Call {
     async fn run(&mut self) -> Result<FullResponse, Verdict> {
         loop {
-            if self.attempts.is_empty() && !self.start_attempt()? {
-                return self.final_result();
+            if self.attempts.is_empty() {
+                if let Some(wait) = self.start_wait() {
+                    sleep(wait).await;
+                }
+                if !self.start_attempt()? {
+                    return self.final_result();
+                }
             }
             let hedge = sleep(self.req.route.target_latency * HEDGE_AFTER_TARGETS);
             tokio::select! {
@@ -132,6 +143,57 @@
         self.is_idempotent() || (route.kind == RouteKind::Stream && route.is_resumable)
     }
 
+    /// Whether another attempt is allowed by the route and by what came of the earlier ones.
+    fn may_attempt(&self) -> bool {
+        let sends = self.possible_runs + self.attempts.len() as u32;
+        (self.may_run_again() || sends == 0)
+            && sends < self.req.route.max_attempts.max(1)
+            && self.last_error != Some(KEY_REVOKED)
+    }
+
+    /// Returns the time to wait, once, if all servers of the service have just refused requests and the
+    /// answer can still be in time; `None` otherwise. Servers that refused this request may be tried again
+    /// afterwards.
+    fn start_wait(&mut self) -> Option<Duration> {
+        if self.has_waited || self.is_passed_on || !self.may_attempt() {
+            return None;
+        }
+        let (cx, req) = (&self.cx, &self.req);
+        let now = cx.now();
+        let target_at = req.arrived + req.route.target_latency;
+        let left = target_at.saturating_sub(now).min(req.time_left(now));
+        let mut tried = self.tried.clone();
+        tried.retain(|server| !self.refused.contains(server));
+        let wait = {
+            let pick = PickParams {
+                now,
+                service: &req.service,
+                zone: "",
+                avoid: &tried,
+                version: None,
+            };
+            let state = cx.state.borrow();
+            match state.is_scheduling_active() {
+                true => state.pool.wait_while_full(&pick, left, cx.random())?,
+                false => return None,
+            }
+        };
+        cx.metrics.count_full_wait(&req.service);
+        cx.log(
+            EventCode::ServersFull,
+            [
+                ("request", req.headers.request_id.as_str().into()),
+                ("service", req.service.as_str().into()),
+                ("for_ms", (wait.as_millis() as u64).into()),
+                ("target_left_ms", (left.as_millis() as u64).into()),
+            ],
+        );
+        self.has_waited = true;
+        self.tried = tried;
+        self.refused.clear();
+        Some(wait)
+    }
+
     /// Sends the request to another server, or passes it on to another instance if no server is
     /// reached from here; returns whether that was possible and allowed.
     ///
@@ -140,11 +202,7 @@
     /// quota meanwhile.
     fn start_attempt(&mut self) -> Result<bool, Verdict> {
         let sends = self.possible_runs + self.attempts.len() as u32;
-        let may_send = self.may_run_again() || sends == 0;
-        if !may_send
-            || sends >= self.req.route.max_attempts.max(1)
-            || self.last_error == Some(KEY_REVOKED)
-        {
+        if !self.may_attempt() {
             return Ok(false);
         }
         if self.is_passed_on && !self.attempts.is_empty() {
@@ -170,7 +228,10 @@
             avoid: &self.tried,
             version: None,
         };
-        let picked = state.pool.pick_plain(&pick, || self.cx.random());
+        let picked = match state.is_scheduling_active() {
+            true => state.pool.pick_plain_by_cost(&pick, || self.cx.random()),
+            false => state.pool.pick_plain(&pick, || self.cx.random()),
+        };
         let Some(server) = picked else {
             drop(state);
             let is_cut_off = self.last_error == Some(NO_CONNECTION);
@@ -227,6 +288,9 @@
             Err(error) => {
                 if let Some(server) = server {
                     log_send_failure(&self.cx, &self.req, server, error);
+                    if error == NO_ROOM {
+                        self.refused.push(server);
+                    }
                 }
                 if error.may_have_run() {
                     self.req.may_have_run.set(true);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use jacinthlever_routing::{
-    AllowanceShare, FleetConfig, Membership, QuotaLedger, Reach, RetryBudget, ServerKey,
-    ServerPool, ServiceReach, StreamJournal, StreamOrigins, SuspectParts, SuspectRequests,
-    VersionNotes,
+    AllowanceShare, FleetConfig, Membership, OutputEstimates, QuotaLedger, Reach, RetryBudget,
+    ServerKey, ServerPool, ServiceReach, StreamJournal, StreamOrigins, SuspectParts,
+    SuspectRequests, VersionNotes,
 };
 use smol_str::SmolStr;
 
@@ -72,6 +72,12 @@
     /// Whether a backend server has stated its slowdown since the start of the process, which turns
     /// scheduling on as well.
     pub is_slowdown_stated: bool,
+    /// When the loads of servers were last put into a report.
+    pub loads_reported_at: Duration,
+    /// When the loads of servers were last put into a digest.
+    pub loads_digested_at: Duration,
+    /// Learned output of generations.
+    pub output_estimates: OutputEstimates,
 }
 
 impl State {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -122,6 +122,7 @@
                 Progress::Made((run, None)) => {
                     self.run = Some(run);
                     self.record_proof();
+                    self.generation.record_output(self.output_tokens);
                     self.record.set_outcome("whole");
                     return None;
                 }
--- a/crates/routing/src/server.rs
+++ b/crates/routing/src/server.rs
@@ -6,7 +6,10 @@
 use slotmap::new_key_type;
 use smol_str::SmolStr;
 
-use crate::{COUNTED_BEFORE_LIMIT, Delegate, LIMIT_NOTICE, NamedLimit, RequestedPause};
+use crate::{
+    COUNTED_BEFORE_LIMIT, Delegate, LIMIT_NOTICE, LoadOrigin, LoadStatement, NamedLimit,
+    RequestedPause, SharedLoad,
+};
 
 new_key_type! {
     /// Key of a backend server in a [`ServerPool`](crate::ServerPool).
@@ -94,8 +97,9 @@
 /// Maximum pause of an unresponsive server.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
-/// Time for which a load that a server reported is used.
-const LOAD_TTL: Duration = Duration::from_millis(600);
+/// Weight of a response that is slower than the shortest latency, which rises by it: the shortest
+/// response of the last hundred or so counts.
+const SHORTEST_LATENCY_WEIGHT: f64 = 0.01;
 
 /// Time for which an engine without capacity is skipped, since others may have some.
 const FULL_SKIP_TIME: Duration = Duration::from_millis(80);
@@ -134,14 +138,15 @@
     failures_updated_at: Duration,
     /// Moving average of the time to the head of a response, in seconds.
     mean_latency_s: Option<f64>,
+    /// Shortest time to the head of a response, in seconds.
+    shortest_latency_s: Option<f64>,
     /// Moving average of the prefill time per token, in milliseconds.
     prefill_ms_per_token: Option<f64>,
     paused_until: Duration,
     pause: Duration,
     full_until: Duration,
-    /// Number of running and waiting requests that the server reported last, and the time of the
-    /// report.
-    reported_load: Option<(u32, Duration)>,
+    /// Load that the server stated last.
+    shared_load: SharedLoad,
     /// Tokens reserved by each peer of this zone, and the time of its report.
     peer_tokens: Reservations,
     /// Tokens reserved by the instances of each other zone, and the time of the report.
@@ -166,11 +171,12 @@
             failures: 0.0,
             failures_updated_at: Duration::ZERO,
             mean_latency_s: None,
+            shortest_latency_s: None,
             prefill_ms_per_token: None,
             paused_until: Duration::ZERO,
             pause: Duration::ZERO,
             full_until: Duration::ZERO,
-            reported_load: None,
+            shared_load: SharedLoad::default(),
             peer_tokens: BTreeMap::new(),
             zone_tokens: BTreeMap::new(),
         }
@@ -181,12 +187,17 @@
         let failed = match outcome {
             CallOutcome::NoCapacity => {
                 self.full_until = now + FULL_SKIP_TIME;
+                let slots = self.entry.slots;
+                self.shared_load.record_refusal(now, slots);
                 return;
             }
             CallOutcome::Answered { latency } => {
                 let latency = latency.as_secs_f64();
                 let before = self.mean_latency_s.unwrap_or(latency);
                 self.mean_latency_s = Some(before + LATENCY_WEIGHT * (latency - before));
+                let shortest = self.shortest_latency_s.unwrap_or(latency);
+                let raised = shortest + SHORTEST_LATENCY_WEIGHT * (latency - shortest);
+                self.shortest_latency_s = Some(raised.min(latency));
                 self.pause = Duration::ZERO;
                 0.0
             }
@@ -229,9 +240,21 @@
         Duration::from_secs_f64(ms / 1000.0)
     }
 
-    /// Records the load that the server reported with a response.
-    pub fn record_load(&mut self, now: Duration, running_and_waiting: u32) {
-        self.reported_load = Some((running_and_waiting, now));
+    /// Records the load that the server stated in a response, to this instance or another one. Returns
+    /// whether its slowdown has changed so much that the learned rates were discarded.
+    pub fn record_load(&mut self, statement: LoadStatement, origin: LoadOrigin) -> bool {
+        let has_changed = self.shared_load.record(statement, origin);
+        if has_changed {
+            self.mean_latency_s = None;
+            self.shortest_latency_s = None;
+            self.prefill_ms_per_token = None;
+        }
+        has_changed
+    }
+
+    /// Returns the load that the server stated last.
+    pub fn shared_load(&self) -> &SharedLoad {
+        &self.shared_load
     }
 
     /// Replaces the number of tokens that a peer of this zone has reserved.
@@ -256,6 +279,12 @@
         self.mean_latency_s
     }
 
+    /// Returns the shortest time to the head of a response lately, in seconds, which is about the time
+    /// that the work takes; `None` before the first response.
+    pub fn shortest_latency_s(&self) -> Option<f64> {
+        self.shortest_latency_s
+    }
+
     /// Whether the server accepts new work.
     pub fn accepts_work(&self) -> bool {
         self.entry.state == ServerState::Ready && !self.is_leaving
@@ -322,14 +351,19 @@
         now < self.full_until
     }
 
+    /// Returns the time for which the server counts as full, since it refused a request; `None` if it does
+    /// not.
+    pub fn full_for(&self, now: Duration) -> Option<Duration> {
+        self.is_full(now).then(|| self.full_until - now)
+    }
+
     /// Returns the known number of requests that run or wait on the server: the reported load or
     /// the calls of this instance, whichever is larger.
     pub fn load(&self, now: Duration) -> u32 {
-        let reported = self
-            .reported_load
-            .filter(|(_, at)| now < *at + LOAD_TTL)
-            .map_or(0, |(load, _)| load);
-        reported.max(self.in_flight)
+        let stated = self.shared_load.fresh(now);
+        stated
+            .map_or(0, |statement| statement.load)
+            .max(self.in_flight)
     }
 
     /// Returns the tokens reserved by all instances, as far as they are known here.
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -7,8 +7,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    CallOutcome, EngineRole, LimitChange, LimitStatement, Server, ServerEntry, ServerKey,
-    ServerState, VersionNotes, Versions,
+    CallOutcome, EngineRole, LimitChange, LimitStatement, LoadOrigin, LoadStatement,
+    MAX_SHARED_LOADS, Server, ServerEntry, ServerKey, ServerState, VersionNotes, Versions,
 };
 
 /// Time for which a registration is still used that expired while the store was unreachable.
@@ -58,6 +58,32 @@
 /// second time would get the server again that did not answer it.
 const PLAIN_JITTER: f64 = 0.05;
 
+/// Random cost of a plain server whose load was stated one turnover ago, in the unit of its load, if loads
+/// are shared.
+const JITTER_PER_TURNOVER: f64 = 1.5;
+
+/// Maximum number of turnovers for which the random cost grows.
+const MAX_TURNOVER: f64 = 6.0;
+
+/// Shortest time that work is assumed to take, in seconds.
+const MIN_WORK_S: f64 = 0.005;
+
+/// Maximum load of a plain server that is used, so that a false figure does not make it the last choice.
+const MAX_LOAD: f64 = 8.0;
+
+/// Cost of a plain server that has just refused a request, in the unit of its load: more than any load of
+/// other servers, and less than [`PAUSED_COST`].
+const FULL_COST: f64 = 25.0;
+
+/// Fraction of what is left of its latency target for which a request waits for full servers.
+const MAX_FULL_WAIT: f64 = 0.5;
+
+/// Fraction of that wait that is random.
+const FULL_WAIT_JITTER: f64 = 0.5;
+
+/// Bounds of the learned ratio of a plain server's latency to the median of its service.
+const LEARNED_RATE_BOUNDS: (f64, f64) = (0.5, 4.0);
+
 /// Maximum random cost of a prefill engine, in seconds, for the same reason as [`DECODE_JITTER`].
 const PREFILL_JITTER_S: f64 = 0.03;
 
@@ -357,6 +383,121 @@
             .map(|(_, key)| key)
     }
 
+    /// Picks the server of a plain service on which a request is expected to cost least, by the shared
+    /// loads and the rates of the servers; `None` if no server is available.
+    ///
+    /// Differences that a load may have lost since it was stated are random: a server turns over a
+    /// request per slot in the time that its work takes. Otherwise all instances would send to the
+    /// server that was the least loaded one, until the next statement. A server whose load is not known
+    /// has the mean of the others. `draw` returns uniform random numbers in `0.0..1.0`.
+    pub fn pick_plain_by_cost(
+        &self,
+        pick: &PickParams<'_>,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<ServerKey> {
+        let now = pick.now;
+        let medians = self.medians(now, pick.service);
+        let (mut known, mut loads) = (0.0, 0.0);
+        let mut work_s = f64::INFINITY;
+        for (_, s) in self.available(pick.service) {
+            if s.shared_load().trusted(now).is_some() {
+                known += 1.0;
+                loads += f64::from(s.load(now)) / f64::from(s.entry.slots.max(1));
+            }
+            work_s = work_s.min(s.shortest_latency_s().unwrap_or(f64::INFINITY));
+        }
+        let mean_load = if known > 0.0 { loads / known } else { 0.0 };
+        let cost = |s: &Server, draw: f64| {
+            let slots = f64::from(s.entry.slots.max(1));
+            let (load, turnover) = match s.shared_load().trusted(now) {
+                Some(stated) => {
+                    let turnover = stated.age(now).as_secs_f64() / work_s.max(MIN_WORK_S);
+                    (f64::from(s.load(now)) / slots, turnover)
+                }
+                None => (mean_load.max(f64::from(s.in_flight) / slots), MAX_TURNOVER),
+            };
+            let full = if s.is_full(now) { FULL_COST } else { 0.0 };
+            let jitter = PLAIN_JITTER + JITTER_PER_TURNOVER * turnover.min(MAX_TURNOVER);
+            (load.min(MAX_LOAD) + 1.0 / slots + jitter * draw) * medians.rate_factor(now, s)
+                + pick.remote_zone_cost(s, REMOTE_ZONE_COST)
+                + limited_cost(s, LIMITED_COST)
+                + medians.failure_penalty(now, s)
+                + full
+        };
+        self.available(pick.service)
+            .filter(|(key, s)| !pick.avoid.contains(key) && s.wait_before_requests(now).is_none())
+            .map(|(key, s)| (cost(s, draw()), key))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, key)| key)
+    }
+
+    /// Returns how long a request waits if all servers of a service that could be picked have just
+    /// refused requests: until the first of them no longer counts as full, at most half of
+    /// `target_left`, which is left of the request's latency target. `None` if it does not wait: a server
+    /// may have room, or the answer would be late by the mean latency of the servers.
+    ///
+    /// `draw` is a uniform random number in `0.0..1.0`. It shortens the wait, so that requests which wait
+    /// at the same time do not fill the first server together.
+    pub fn wait_while_full(
+        &self,
+        pick: &PickParams<'_>,
+        target_left: Duration,
+        draw: f64,
+    ) -> Option<Duration> {
+        let now = pick.now;
+        let mut full_for: Option<Duration> = None;
+        let mut latency_s: f64 = 0.0;
+        for (key, s) in self.available(pick.service) {
+            let takes_requests = s.wait_before_requests(now).is_none() && !s.is_paused(now);
+            if pick.avoid.contains(&key) || !takes_requests {
+                continue;
+            }
+            let wait = s.full_for(now)?;
+            full_for = Some(full_for.map_or(wait, |least| least.min(wait)));
+            latency_s = latency_s.max(s.mean_latency_s().unwrap_or(0.0));
+        }
+        let wait = full_for?.min(target_left.mul_f64(MAX_FULL_WAIT));
+        let wait = wait.mul_f64(1.0 - FULL_WAIT_JITTER * draw);
+        let left_s = target_left.saturating_sub(wait).as_secs_f64();
+        (latency_s < left_s).then_some(wait)
+    }
+
+    /// Merges the load that another instance has heard of a server; returns whether the learned rates
+    /// of the server were discarded for it.
+    pub fn merge_load(&mut self, id: &str, statement: LoadStatement, origin: LoadOrigin) -> bool {
+        let key = self.by_id.get(id).copied();
+        let server = key.and_then(|key| self.servers.get_mut(key));
+        server.is_some_and(|s| s.record_load(statement, origin))
+    }
+
+    /// Returns the loads that servers of the services for which `is_shared` holds stated after `since`,
+    /// the latest [`MAX_SHARED_LOADS`] of those that have come by `farthest` or a shorter way.
+    pub fn loads_to_share(
+        &self,
+        now: Duration,
+        since: Duration,
+        farthest: LoadOrigin,
+        is_shared: impl Fn(&str) -> bool,
+    ) -> Vec<(SmolStr, LoadStatement)> {
+        let servers = self.servers.values();
+        let servers = servers.filter(|s| is_shared(&s.entry.service));
+        let loads = servers.filter_map(|s| {
+            let statement = s.shared_load().to_share(now, since, farthest)?;
+            Some((s.entry.id.clone(), statement))
+        });
+        let mut loads: Vec<_> = loads.collect();
+        loads.sort_by_key(|(_, statement)| std::cmp::Reverse(statement.stated_at));
+        loads.truncate(MAX_SHARED_LOADS);
+        loads
+    }
+
+    /// Returns the number of servers whose load is known.
+    pub fn known_loads(&self, now: Duration) -> usize {
+        let servers = self.servers.values();
+        let known = servers.filter(|s| s.shared_load().fresh(now).is_some());
+        known.count()
+    }
+
     /// Picks the engine that is expected to complete the prefill of a prompt of `tokens` first, and
     /// returns it with the estimated time; `None` if no engine is available.
     ///
@@ -576,12 +717,28 @@
 
 impl ServiceMedians {
     fn penalty(&self, now: Duration, server: &Server) -> f64 {
+        self.failure_penalty(now, server) + self.slowness_cost(server)
+    }
+
+    fn failure_penalty(&self, now: Duration, server: &Server) -> f64 {
         let paused = if server.is_paused(now) {
             PAUSED_COST
         } else {
             0.0
         };
-        paused + FAILURE_COST * self.excess_failures(now, server) + self.slowness_cost(server)
+        paused + FAILURE_COST * self.excess_failures(now, server)
+    }
+
+    /// Returns how long work takes on a server: the slowdown that it states, or else its mean latency
+    /// against the median. The waits in the latency are part of the load, so a lower one counts little.
+    fn rate_factor(&self, now: Duration, server: &Server) -> f64 {
+        let learned = || {
+            let (latency, median) = server.mean_latency_s().zip(self.latency)?;
+            let (min, max) = LEARNED_RATE_BOUNDS;
+            Some((latency / median.max(0.001)).clamp(min, max))
+        };
+        let stated = server.shared_load().slowdown(now);
+        stated.or_else(learned).unwrap_or(1.0)
     }
 
     fn excess_failures(&self, now: Duration, server: &Server) -> f64 {
