--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -454,7 +454,10 @@
             }
             let wait = s.full_for(now)?;
             full_for = Some(full_for.map_or(wait, |least| least.min(wait)));
-            latency_s = latency_s.max(s.mean_latency_s().unwrap_or(0.0));
+            let turns = 1.0 + f64::from(s.load(now)) / f64::from(s.entry.slots.max(1));
+            let queued_s = turns.min(MAX_LOAD) * s.shortest_latency_s().unwrap_or(0.0);
+            let mean_s = s.mean_latency_s().unwrap_or(0.0);
+            latency_s = latency_s.max(queued_s).max(mean_s);
         }
         let wait = full_for?.min(target_left.mul_f64(MAX_FULL_WAIT));
         let wait = wait.mul_f64(1.0 - FULL_WAIT_JITTER * draw);
--- a/crates/routing/tests/bursts_at_full_servers.rs
+++ b/crates/routing/tests/bursts_at_full_servers.rs
@@ -35,9 +35,6 @@
 const DIGEST_INTERVAL_MS: u64 = 300;
 const LOST_MESSAGES: f64 = 0.03;
 
-/// Latency target, as a multiple of the work.
-const TARGET_FACTOR: f64 = 5.0;
-
 /// Retries that the fleet may make for each request.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_ALLOWANCE: f64 = 52.0;
@@ -56,6 +53,8 @@
 struct Load {
     instances: usize,
     work_ms: f64,
+    /// Latency target, as a multiple of the work.
+    target_factor: f64,
     /// Load in a burst, as a multiple of the usual one.
     burst: f64,
     /// Slowdown of the first server in the second half of the run.
@@ -173,7 +172,7 @@
     }
 
     fn target(&self) -> Duration {
-        Duration::from_secs_f64(self.load.work_ms * TARGET_FACTOR / 1000.0)
+        Duration::from_secs_f64(self.load.work_ms * self.load.target_factor / 1000.0)
     }
 
     fn run(mut self) -> Tally {
@@ -434,6 +433,7 @@
 const USUAL: Load = Load {
     instances: 2,
     work_ms: 30.0,
+    target_factor: 5.0,
     burst: 2.0,
     slowdown: 1.0,
     figures: Figures::True,
@@ -521,3 +521,22 @@
     }
     assert!(shared > apart - 0.03, "{apart} {shared}");
 }
+
+/// Guards against callers that are refused although a server has room again long before their target.
+#[test]
+fn requests_with_long_targets_wait_for_full_servers() {
+    for instances in [20, 40, 85] {
+        let load = Load {
+            instances,
+            target_factor: 30.0,
+            burst: 3.0,
+            ..USUAL
+        };
+        let [apart, shared] = compare(load);
+        assert!(
+            shared.refused * 2 < apart.refused,
+            "{load:?}: {apart:?} {shared:?}"
+        );
+        assert!(shared.on_time() > 0.99, "{load:?}: {shared:?}");
+    }
+}
