Loads in reports are bounded in bytes

A report with 32 loads of 40 bytes to 27 peers, three times a second, takes 100 KB/s; an instance may send 9 KB/s.

Loads are sent without names of fields, in about 20 bytes, at most 8 in a digest and as many in a report as take 4 KB/s.

--- a/crates/gateway/src/shared_loads.rs
+++ b/crates/gateway/src/shared_loads.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use jacinthlever_routing::{LoadOrigin, LoadStatement, ServerKey};
+use jacinthlever_routing::{
+    LoadOrigin, LoadStatement, MAX_DIGEST_LOADS, ServerKey, max_reported_loads, report_interval,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -15,20 +17,11 @@
 /// Largest slowdown that is sent, in percent.
 const MAX_SLOWDOWN_PERCENT: f64 = 65_535.0;
 
-/// Load of a server, as instances tell each other. The names are short, since a message has several.
+/// Load of a server, as instances tell each other, without names of fields, since a message has several:
+/// the server, the number of running and waiting requests, the time since the statement in milliseconds,
+/// and the time that work takes on the server in percent of the usual time, if it is stated.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct SharedLoad {
-    #[serde(rename = "id")]
-    server: SmolStr,
-    /// Number of running and waiting requests.
-    load: u32,
-    /// Time since the statement, in milliseconds.
-    #[serde(rename = "age")]
-    age_ms: u64,
-    /// Time that work takes on the server, in percent of the usual time.
-    #[serde(default, rename = "slow", skip_serializing_if = "Option::is_none")]
-    slowdown_percent: Option<u32>,
-}
+pub struct SharedLoad(SmolStr, u32, u64, Option<u32>);
 
 /// Records the load in an answer of a server.
 pub fn record(cx: &Context, server: ServerKey, load: ServerLoad) {
@@ -52,13 +45,16 @@
 /// Returns what servers have stated to this instance since its last report.
 pub fn for_report(state: &mut State, now: Duration) -> Vec<SharedLoad> {
     let since = std::mem::replace(&mut state.loads_reported_at, now);
-    to_share(state, now, since, LoadOrigin::Own)
+    let zone_size = state.members.zone_size(now);
+    let peers = zone_size.saturating_sub(1);
+    let max = max_reported_loads(peers, report_interval(zone_size));
+    to_share(state, now, since, LoadOrigin::Own, max)
 }
 
 /// Returns what servers have stated to the instances of this zone since its last digest.
 pub fn for_digest(state: &mut State, now: Duration) -> Vec<SharedLoad> {
     let since = std::mem::replace(&mut state.loads_digested_at, now);
-    to_share(state, now, since, LoadOrigin::Zone)
+    to_share(state, now, since, LoadOrigin::Zone, MAX_DIGEST_LOADS)
 }
 
 fn to_share(
@@ -66,6 +62,7 @@
     now: Duration,
     since: Duration,
     farthest: LoadOrigin,
+    max: usize,
 ) -> Vec<SharedLoad> {
     let Some(config) = state
         .config
@@ -78,14 +75,14 @@
         let service = config.services.get(service);
         service.is_some_and(|service| service.engine.is_none())
     };
-    let loads = state.pool.loads_to_share(now, since, farthest, is_plain);
-    let shared = loads.into_iter().map(|(server, statement)| SharedLoad {
-        server,
-        load: statement.load,
-        age_ms: statement.age(now).as_millis() as u64,
-        slowdown_percent: statement
-            .slowdown
-            .map(|slowdown| (slowdown * 100.0).clamp(1.0, MAX_SLOWDOWN_PERCENT) as u32),
+    let loads = state
+        .pool
+        .loads_to_share(now, since, farthest, max, is_plain);
+    let shared = loads.into_iter().map(|(server, statement)| {
+        let age_ms = statement.age(now).as_millis() as u64;
+        let percent = |slowdown: f64| (slowdown * 100.0).clamp(1.0, MAX_SLOWDOWN_PERCENT) as u32;
+        let slowdown = statement.slowdown.map(percent);
+        SharedLoad(server, statement.load, age_ms, slowdown)
     });
     shared.collect()
 }
@@ -97,20 +94,18 @@
     if !state.is_scheduling_active() {
         return;
     }
-    for shared in loads {
+    for SharedLoad(server, load, age_ms, percent) in loads {
         // A load older than this process is too old in any case.
-        let Some(stated_at) = now.checked_sub(Duration::from_millis(shared.age_ms)) else {
+        let Some(stated_at) = now.checked_sub(Duration::from_millis(*age_ms)) else {
             continue;
         };
+        let percent = percent.filter(|percent| *percent > 0);
         let statement = LoadStatement {
-            load: shared.load,
-            slowdown: shared
-                .slowdown_percent
-                .filter(|percent| *percent > 0)
-                .map(|percent| f64::from(percent) / 100.0),
+            load: *load,
+            slowdown: percent.map(|percent| f64::from(percent) / 100.0),
             stated_at,
         };
-        if statement.is_fresh(now) && state.pool.merge_load(&shared.server, statement, origin) {
+        if statement.is_fresh(now) && state.pool.merge_load(server, statement, origin) {
             cx.metrics.count_discarded_rates();
         }
     }
@@ -118,7 +113,7 @@
 
 /// Adds the time for which a message was kept to the ages of its loads.
 pub fn add_age(loads: &mut [SharedLoad], kept: Duration) {
-    for shared in loads {
-        shared.age_ms = shared.age_ms.saturating_add(kept.as_millis() as u64);
+    for SharedLoad(_, _, age_ms, _) in loads {
+        *age_ms = age_ms.saturating_add(kept.as_millis() as u64);
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -65,7 +65,9 @@
 pub use server::{CallOutcome, EngineRole, Server, ServerEntry, ServerKey, ServerState};
 pub use server_pool::{PickParams, ServerPool};
 pub use service_reach::{Reach, ServiceReach};
-pub use shared_loads::{LoadOrigin, LoadStatement, MAX_SHARED_LOADS, SharedLoad};
+pub use shared_loads::{
+    LoadOrigin, LoadStatement, MAX_DIGEST_LOADS, MAX_SHARED_LOADS, SharedLoad, max_reported_loads,
+};
 pub use stale_rows::StaleRows;
 pub use store_watch::StoreWatch;
 pub use stream_journal::{JournalRow, StreamJournal};
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -7,8 +7,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    CallOutcome, EngineRole, LimitChange, LimitStatement, LoadOrigin, LoadStatement,
-    MAX_SHARED_LOADS, Server, ServerEntry, ServerKey, ServerState, VersionNotes, Versions,
+    CallOutcome, EngineRole, LimitChange, LimitStatement, LoadOrigin, LoadStatement, Server,
+    ServerEntry, ServerKey, ServerState, VersionNotes, Versions,
 };
 
 /// Time for which a registration is still used that expired while the store was unreachable.
@@ -474,12 +474,13 @@
     }
 
     /// Returns the loads that servers of the services for which `is_shared` holds stated after `since`,
-    /// the latest [`MAX_SHARED_LOADS`] of those that have come by `farthest` or a shorter way.
+    /// the latest `max` of those that have come by `farthest` or a shorter way.
     pub fn loads_to_share(
         &self,
         now: Duration,
         since: Duration,
         farthest: LoadOrigin,
+        max: usize,
         is_shared: impl Fn(&str) -> bool,
     ) -> Vec<(SmolStr, LoadStatement)> {
         let servers = self.servers.values();
@@ -490,7 +491,7 @@
         });
         let mut loads: Vec<_> = loads.collect();
         loads.sort_by_key(|(_, statement)| std::cmp::Reverse(statement.stated_at));
-        loads.truncate(MAX_SHARED_LOADS);
+        loads.truncate(max);
         loads
     }
 
--- a/crates/routing/src/shared_loads.rs
+++ b/crates/routing/src/shared_loads.rs
@@ -5,9 +5,19 @@
 /// Time for which a load that a server stated is used.
 const LOAD_TTL: Duration = Duration::from_millis(600);
 
-/// Maximum number of loads in one message, which bounds it to about 1 KB.
+/// Maximum number of loads in a message.
 pub const MAX_SHARED_LOADS: usize = 32;
 
+/// Maximum number of loads in a digest, which is forwarded to all instances of the other zones: with four
+/// other zones they receive up to 2.2 KB/s.
+pub const MAX_DIGEST_LOADS: usize = 8;
+
+/// Bytes a second that an instance sends for loads in reports, at most.
+const REPORTED_BYTES_PER_S: f64 = 4000.0;
+
+/// Typical size of a load in a message, in bytes.
+const LOAD_BYTES: f64 = 20.0;
+
 /// Relative change of a server's slowdown after which what was learned of its speed is discarded.
 const SLOWDOWN_CHANGE: f64 = 0.5;
 
@@ -30,6 +40,12 @@
     OtherZone,
 }
 
+/// Returns the maximum number of loads in a report that goes to `peers` at an interval.
+pub fn max_reported_loads(peers: usize, interval: Duration) -> usize {
+    let bytes = REPORTED_BYTES_PER_S * interval.as_secs_f64() / peers.max(1) as f64;
+    ((bytes / LOAD_BYTES) as usize).clamp(1, MAX_SHARED_LOADS)
+}
+
 /// The load that a server stated in an answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadStatement {
--- a/crates/routing/tests/bursts_at_full_servers.rs
+++ b/crates/routing/tests/bursts_at_full_servers.rs
@@ -9,7 +9,8 @@
 
 use common::{entry, pick};
 use jacinthlever_routing::{
-    CallOutcome, LoadOrigin, LoadStatement, PickParams, ServerKey, ServerPool, report_interval,
+    CallOutcome, LoadOrigin, LoadStatement, MAX_DIGEST_LOADS, PickParams, ServerKey, ServerPool,
+    max_reported_loads, report_interval,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -359,7 +360,11 @@
     fn share(&mut self, from: usize, origin: LoadOrigin, to: &[usize], late_us: u64) {
         let now = time(self.now);
         let since = self.reported[from];
-        let loads = self.pools[from].loads_to_share(now, since, origin, |_| true);
+        let max = match origin {
+            LoadOrigin::Own => max_reported_loads(to.len(), report_interval(to.len() + 1)),
+            _ => MAX_DIGEST_LOADS,
+        };
+        let loads = self.pools[from].loads_to_share(now, since, origin, max, |_| true);
         for peer in to {
             if self.rng.random::<f64>() < LOST_MESSAGES {
                 continue;
--- a/crates/routing/tests/shared_loads.rs
+++ b/crates/routing/tests/shared_loads.rs
@@ -8,6 +8,7 @@
 use common::{entry, pick};
 use jacinthlever_routing::{
     CallOutcome, LoadOrigin, LoadStatement, MAX_SHARED_LOADS, ServerEntry, ServerKey, ServerPool,
+    max_reported_loads, report_interval,
 };
 
 const NOW: Duration = Duration::from_secs(10);
@@ -77,21 +78,45 @@
         server.record_load(stated(i as u32, 10 * i), origin);
     }
     let is_plain = |service: &str| service == "service";
-    let all = pool.loads_to_share(NOW, Duration::ZERO, LoadOrigin::Zone, is_plain);
+    let all = pool.loads_to_share(
+        NOW,
+        Duration::ZERO,
+        LoadOrigin::Zone,
+        MAX_SHARED_LOADS,
+        is_plain,
+    );
     assert_eq!(all.len(), MAX_SHARED_LOADS);
     assert!(all.iter().all(|(_, s)| s.age(NOW) < ms(600) && s.load < 32));
-    let own = pool.loads_to_share(NOW, NOW - ms(100), LoadOrigin::Own, is_plain);
+    let own = pool.loads_to_share(
+        NOW,
+        NOW - ms(100),
+        LoadOrigin::Own,
+        MAX_SHARED_LOADS,
+        is_plain,
+    );
     let loads: Vec<u32> = own.iter().map(|(_, s)| s.load).collect();
     assert_eq!(loads, [0, 2, 4, 6, 8]);
 }
 
+/// Guards against reports that take more than half of what an instance may send, with 20 bytes for a load.
+#[test]
+fn reports_to_many_peers_have_few_loads() {
+    for peers in 1..=110 {
+        let interval = report_interval(peers);
+        let loads = max_reported_loads(peers, interval);
+        let sent = (20 * loads * peers) as f64 / interval.as_secs_f64();
+        assert!(sent <= 4000.0, "{peers} peers: {loads}");
+    }
+    assert_eq!(max_reported_loads(1, report_interval(1)), 30);
+}
+
 /// Guards against loads that zones send back to where they come from.
 #[test]
 fn loads_of_other_zones_are_not_shared_again() {
     let (mut pool, [key]) = pool(["a"]);
     pool.merge_load("a", stated(5, 10), LoadOrigin::OtherZone);
     let to_share = |pool: &ServerPool| {
-        let loads = pool.loads_to_share(NOW, Duration::ZERO, LoadOrigin::Zone, |_| true);
+        let loads = pool.loads_to_share(NOW, Duration::ZERO, LoadOrigin::Zone, 8, |_| true);
         loads.len()
     };
     assert_eq!((to_share(&pool), load(&pool, key, NOW)), (0, 5));
