--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -14,6 +14,8 @@
     Reloaded = 1004,
     /// The settings file was read again and cannot be used; the previous settings stay in force.
     ReloadFailed = 1005,
+    /// Scheduling by load, cost and rate was turned on or off.
+    SchedulingChanged = 1006,
     /// The store answers again after it had not.
     StoreRegained = 1101,
     /// A call to the store failed; logged once until the store answers again.
@@ -118,18 +120,21 @@
     StreamsLoaded = 1523,
     /// A backend server sent the answer of another request where this one's was expected.
     ForeignAnswer = 1524,
+    /// All servers of a service have just refused requests, and a request waits for the first of them.
+    ServersFull = 1540,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 58] = [
+    pub const ALL: [Self; 60] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
         Self::Reloaded,
         Self::ReloadFailed,
+        Self::SchedulingChanged,
         Self::StoreRegained,
         Self::StoreLost,
         Self::RowUnreadable,
@@ -182,6 +187,7 @@
         Self::RetryDenied,
         Self::StreamsLoaded,
         Self::ForeignAnswer,
+        Self::ServersFull,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -119,6 +119,9 @@
         );
         cx.metrics.record_cold_servers(state.pool.cold_servers(now));
         cx.metrics.record_lost_services(state.lost_services().len());
+        if state.is_scheduling_active() {
+            cx.metrics.record_known_loads(state.pool.known_loads(now));
+        }
         drop(state);
         cold_servers::log_changes(&cx);
         cx.connection_pool.evict_expired(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,9 +44,11 @@
 mod replacement;
 mod reservation;
 mod role_coordinator;
+mod scheduling;
 mod sends;
 mod server_limits;
 mod settings;
+mod shared_loads;
 mod state;
 mod store;
 mod store_version;
@@ -71,4 +73,6 @@
 pub use event_code::EventCode;
 pub use event_log::EventLog;
 pub use instance::Instance;
-pub use settings::{Bounds, Listen, Planning, Settings, SettingsError, StoreSettings};
+pub use settings::{
+    Bounds, Listen, Planning, Scheduling, Settings, SettingsError, StoreSettings, TranslateSettings,
+};
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod forwarding;
 mod membership;
 mod named_limit;
+mod output_estimates;
 mod over_limit;
 mod pace;
 mod permit_ledger;
@@ -29,6 +30,7 @@
 mod server;
 mod server_pool;
 mod service_reach;
+mod shared_loads;
 mod stale_rows;
 mod store_watch;
 mod stream_journal;
@@ -54,6 +56,7 @@
     RelayCandidates, ReportOutcome, ZoneDigest, report_interval,
 };
 pub use named_limit::{LimitChange, LimitStatement, NamedLimit};
+pub use output_estimates::OutputEstimates;
 pub use over_limit::OverLimit;
 pub use permit_ledger::{COUNTED_BEFORE_LIMIT, LIMIT_NOTICE, PermitCall, PermitLedger};
 pub use prompt_part::PromptPart;
@@ -66,6 +69,9 @@
 pub use server::{CallOutcome, EngineRole, Server, ServerEntry, ServerKey, ServerState};
 pub use server_pool::{PickParams, ServerPool};
 pub use service_reach::{Reach, ServiceReach};
+pub use shared_loads::{
+    LoadOrigin, LoadStatement, MAX_DIGEST_LOADS, MAX_SHARED_LOADS, SharedLoad, max_reported_loads,
+};
 pub use stale_rows::StaleRows;
 pub use store_watch::StoreWatch;
 pub use stream_journal::{JournalRow, StreamJournal};
