--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -111,7 +111,7 @@
             state: RefCell::new(state),
             connection_pool: ConnectionPool::default(),
             relays: Relays::default(),
-            capacity_queue: CapacityQueue::default(),
+            capacity_queue: CapacityQueue::new(clock),
             event_log: EventLog::spawn(clock)?,
             metrics: Metrics::open()?,
             received_digests: RefCell::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     relayed: Counter<u64>,
     retries: Counter<u64>,
     lost_services: Gauge<u64>,
+    early_refusals: Counter<u64>,
+    expected_wait: Histogram<f64>,
 }
 
 impl Metrics {
@@ -60,6 +62,10 @@
             .f64_histogram("jacinthlever_store_answer_seconds")
             .with_boundaries(TIME_BOUNDS_S.to_vec())
             .build();
+        let expected_wait = meter
+            .f64_histogram("jacinthlever_expected_wait_seconds")
+            .with_boundaries(TIME_BOUNDS_S.to_vec())
+            .build();
         Ok(Self {
             requests: meter.u64_counter("jacinthlever_requests").build(),
             latency,
@@ -79,6 +85,8 @@
             relayed: meter.u64_counter("jacinthlever_relayed_requests").build(),
             retries: meter.u64_counter("jacinthlever_retries").build(),
             lost_services: meter.u64_gauge("jacinthlever_lost_services").build(),
+            early_refusals: meter.u64_counter("jacinthlever_early_refusals").build(),
+            expected_wait,
             registry,
             _provider: provider,
         })
@@ -173,6 +181,21 @@
         self.retries.add(1, &labels);
     }
 
+    /// Records how long a generation of a service is expected to wait for engine memory as it arrives.
+    pub fn record_expected_wait(&self, service: &str, wait: Duration) {
+        let labels = [KeyValue::new("service", service.to_string())];
+        self.expected_wait.record(wait.as_secs_f64(), &labels);
+    }
+
+    /// Counts a generation that is refused at once, since its turn is expected too late.
+    pub fn count_early_refusal(&self, service: &str, priority: u8) {
+        let labels = [
+            KeyValue::new("service", service.to_string()),
+            KeyValue::new("priority", i64::from(priority)),
+        ];
+        self.early_refusals.add(1, &labels);
+    }
+
     /// Records the number of services of which this instance reaches no server.
     pub fn record_lost_services(&self, count: usize) {
         self.lost_services.record(count as u64, &[]);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -67,6 +67,8 @@
     pub servers_recovered_at: Option<Duration>,
     /// Whether the process is shutting down.
     pub is_draining: bool,
+    /// Whether scheduling by load, estimates and shares is on.
+    pub is_scheduling_active: bool,
 }
 
 impl State {
@@ -100,6 +102,11 @@
         true
     }
 
+    /// Whether scheduling by load, estimates and shares is on.
+    pub fn is_scheduling_active(&self) -> bool {
+        self.is_scheduling_active
+    }
+
     /// Whether keys may be accepted: the configuration was verified within the time that a revoked
     /// key may still work, less [`REVOCATION_MARGIN`]. A key that was revoked after that may still
     /// be accepted.
