Continued streams do not count as a queue

A stream that goes on at engines of one version may wait while others have room, and the rate of grants in that time is not that of the capacity.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -685,7 +685,10 @@
                 waiter.record_grant();
                 return Ok(reservation);
             }
-            waiter.record_no_room();
+            // A continued stream may wait for an engine of its version while others have room.
+            if self.may_be_refused_early() {
+                waiter.record_no_room();
+            }
             if self.version.is_none() && self.may_pass_on() {
                 return Err(self.refusal(OUT_OF_REACH));
             }
