--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -120,6 +120,8 @@
     StreamsLoaded = 1523,
     /// A backend server sent the answer of another request where this one's was expected.
     ForeignAnswer = 1524,
+    /// A generation was refused at once, since its turn is expected only after it stops waiting.
+    WaitTooLong = 1530,
     /// All servers of a service have just refused requests, and a request waits for the first of them.
     ServersFull = 1540,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
@@ -128,7 +130,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 60] = [
+    pub const ALL: [Self; 61] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -187,6 +189,7 @@
         Self::RetryDenied,
         Self::StreamsLoaded,
         Self::ForeignAnswer,
+        Self::WaitTooLong,
         Self::ServersFull,
         Self::LinesDropped,
     ];
