Cold servers cost no more than others, and a decode gets its permit late

Cause: a cold server cost as much as one that names a limit, so the other zones got nearly all work while a whole zone was cold. A decode whose engine became cold after its reservation was given up, and its prefill was wasted.

Change: only servers that name a limit cost more; permits bound the rate of cold ones. A request whose server became cold since it was picked asks for a permit at the moment of the send.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -24,7 +24,7 @@
 use crate::departures;
 use crate::evacuations::EVACUATED;
 use crate::pauses;
-use crate::permits::{self, NO_PERMIT};
+use crate::permits::{self, AT_LIMIT, NO_PERMIT};
 use crate::reach;
 use crate::relay::UNREACHED_HEADER;
 use crate::sends::SendTicket;
@@ -420,7 +420,7 @@
 
 /// Whether this instance has not sent a request at the last moment, which tells nothing of the server.
 fn is_withheld(error: SendError) -> bool {
-    [KEY_REVOKED, NO_PERMIT].contains(&error)
+    [KEY_REVOKED, AT_LIMIT, NO_PERMIT].contains(&error)
 }
 
 /// A caller's request that is sent, as opposed to a control call. Its key must still be accepted at
@@ -512,7 +512,7 @@
             return Err(KEY_REVOKED);
         }
         if caller_send.is_some_and(|c| !c.has_permit) {
-            permits::check_still_unneeded(cx, server)?;
+            permits::acquire_if_cold(cx, server).await?;
         }
         let request = call.request(&target.address)?;
         let ticket = caller_send.map(|c| &c.ticket);
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -1049,7 +1049,7 @@
 ) -> Result<Exchange, SendError> {
     let PreparedDecode { reservation, kv } = prepared;
     if !reservation.has_permits {
-        permits::check_still_unneeded(cx, reservation.server)?;
+        permits::acquire_if_cold(cx, reservation.server).await?;
     }
     let extra = ServerHeaders {
         kv_source: kv.as_ref().map(|kv| kv.location.clone()),
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -135,16 +135,17 @@
     Err(error)
 }
 
-/// Checks that a request for which no permit was needed when its server was picked may still be sent:
-/// the server may have become cold since.
+/// Acquires a permit for a request for which none was needed when its server was picked, if the server has
+/// become cold since.
 ///
 /// # Errors
-/// Fails with [`NO_PERMIT`] if it is cold now.
-pub fn check_still_unneeded(cx: &Context, server: ServerKey) -> Result<(), SendError> {
-    match cx.state.borrow().pool.is_cold(cx.now(), server) {
-        true => Err(NO_PERMIT),
-        false => Ok(()),
+/// Fails with [`AT_LIMIT`] or [`NO_PERMIT`]; the server is then not picked for some time.
+pub async fn acquire_if_cold(cx: &Context, server: ServerKey) -> Result<(), SendError> {
+    let is_cold = cx.state.borrow().pool.is_cold(cx.now(), server);
+    if is_cold {
+        acquire(cx, server, 1).await?;
     }
+    Ok(())
 }
 
 /// Reports the requests that this instance has sent to a server before it learned that the server
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -206,13 +206,6 @@
         server.wait_before_requests(now, self.cold_rate(server))
     }
 
-    fn limited_cost(&self, now: Duration, server: &Server, cost: f64) -> f64 {
-        match server.rate_limit(now, self.cold_rate(server)) {
-            Some(_) => cost,
-            None => 0.0,
-        }
-    }
-
     /// Returns the versions that the store lists; `None` if they are not kept there.
     pub fn notes_mut(&mut self) -> Option<&mut VersionNotes> {
         self.notes.as_mut()
@@ -445,7 +438,7 @@
             let slots = f64::from(s.entry.slots.max(1));
             let load = f64::from(s.load(pick.now)) / slots;
             load + pick.remote_zone_cost(s, REMOTE_ZONE_COST)
-                + self.limited_cost(pick.now, s, LIMITED_COST)
+                + limited_cost(s, LIMITED_COST)
                 + medians.penalty(pick.now, s)
         };
         self.available(pick.service)
@@ -494,7 +487,7 @@
             let jitter = PLAIN_JITTER + JITTER_PER_TURNOVER * turnover.min(MAX_TURNOVER);
             (load.min(MAX_LOAD) + 1.0 / slots + jitter * draw) * medians.rate_factor(now, s)
                 + pick.remote_zone_cost(s, REMOTE_ZONE_COST)
-                + self.limited_cost(now, s, LIMITED_COST)
+                + limited_cost(s, LIMITED_COST)
                 + medians.failure_penalty(now, s)
                 + full
         };
@@ -597,7 +590,7 @@
             let prefill = s.expected_prefill_time(pick.now, tokens).as_secs_f64();
             prefill
                 + pick.remote_zone_cost(s, REMOTE_ZONE_PREFILL_COST_S)
-                + self.limited_cost(pick.now, s, LIMITED_PREFILL_COST_S)
+                + limited_cost(s, LIMITED_PREFILL_COST_S)
                 + failures
                 + PREFILL_JITTER_S * draw()
         };
@@ -625,7 +618,7 @@
             let used = s.reserved_tokens(pick.now) as f64 / memory as f64;
             let penalty = DECODE_PENALTY_FACTOR * medians.penalty(pick.now, s);
             used + pick.remote_zone_cost(s, REMOTE_ZONE_DECODE_COST)
-                + self.limited_cost(pick.now, s, LIMITED_COST)
+                + limited_cost(s, LIMITED_COST)
                 + penalty
                 + DECODE_JITTER * draw()
         };
@@ -867,6 +860,17 @@
     }
 }
 
+/// Returns the cost of a server that names a limit.
+///
+/// A cold server has none: permits bound its rate, and if a whole zone is cold, the others could not take
+/// all of its work.
+fn limited_cost(server: &Server, cost: f64) -> f64 {
+    match server.named_limit.rate() {
+        Some(_) => cost,
+        None => 0.0,
+    }
+}
+
 /// Returns the median or, of two middle values, the lower one, so that the worse of two servers
 /// exceeds it.
 fn lower_median(values: &mut [f64]) -> Option<f64> {
