A budget for the bytes that an instance holds

Cause: one body and its time are bounded, the sum of all is not; nor is the sum of buffered answers and of answers that callers do not read. Small chunks keep whole read buffers, and the allocator keeps what bodies of many sizes leave behind (123 to 130 MB stayed resident after all had been refused).

Change: with max_memory_mb, a third of it is a budget from which bytes are taken before they are allocated. MemoryLedger accounts for them and selects what is shed: what has been stalled for longest, then the newest large body. Bodies are copied into segments of one size as they arrive, and are sent from there. A length announced over the limit gets 413 before the body is read; a body that is shed gets 503, and the connection closes. Answers are never shed while a server sends them; one that its caller does not read is. Without the setting bodies are read as before.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -5,20 +5,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{self, HeaderMap};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, Route};
+use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, HoldingUse, Route};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use crate::CallerHeaders;
-use crate::answer::{OLDER_CONFIG, STOPPING, Verdict};
+use crate::answer::{BODY_TOO_LONG, NO_MEMORY, OLDER_CONFIG, STOPPING, Verdict};
 use crate::caller_request::{CallerRequest, fingerprint, remove_connection_headers};
 use crate::charge::Charge;
 use crate::context::Context;
+use crate::held_body::{HeldBody, ReadError};
 use crate::quarantine;
 use crate::relay::{ATTEMPTS_HEADER, CONFIG_HEADER, RelayTerms};
 use crate::sends::Sends;
@@ -28,6 +27,9 @@
 /// without a service, or to a server that did not have capacity in time.
 pub const RETRY_AFTER_UNVERIFIED: Duration = Duration::from_millis(800);
 
+/// Shortest `Retry-After` of refusals for lack of memory.
+const RETRY_AFTER_NO_MEMORY: Duration = Duration::from_millis(500);
+
 /// `Retry-After` of refusals while this instance has no configuration yet.
 const RETRY_AFTER_UNCONFIGURED: Duration = Duration::from_millis(700);
 
@@ -115,6 +117,7 @@
     let deadline = arrived + timeout.min(admission.route.timeout);
     let (parts, body) = req.into_parts();
     let body = read_body(
+        cx,
         body,
         admission.config.limits,
         deadline.saturating_sub(arrived),
@@ -247,18 +250,24 @@
 }
 
 async fn read_body(
-    body: Incoming,
+    cx: &Context,
+    mut body: Incoming,
     limits: CallerLimits,
     time_limit: Duration,
-) -> Result<Bytes, Verdict> {
-    let result = timeout(time_limit, Limited::new(body, limits.body_bytes).collect()).await;
-    match result {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Verdict::reject(
+) -> Result<HeldBody, Verdict> {
+    let reading = HeldBody::read(cx, &mut body, limits.body_bytes, HoldingUse::Receiving);
+    match timeout(time_limit, reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLong)) => Err(Verdict::reject(
             StatusCode::PAYLOAD_TOO_LARGE,
-            "body is too long",
+            BODY_TOO_LONG,
         )),
-        Ok(Err(_)) => Err(Verdict::reject(
+        Ok(Err(ReadError::NoMemory)) => {
+            // Callers that were refused together do not come back together.
+            let retry_after = RETRY_AFTER_NO_MEMORY.mul_f64(1.0 + cx.random());
+            Err(Verdict::unavailable(NO_MEMORY, retry_after))
+        }
+        Ok(Err(ReadError::Broken)) => Err(Verdict::reject(
             StatusCode::BAD_REQUEST,
             "body cannot be read",
         )),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -14,6 +14,7 @@
 use smol_str::SmolStr;
 
 use crate::exchange::NO_CONNECTION;
+use crate::held_body::HeldBody;
 
 /// Reason for refusing a request: this instance reaches no server of its service.
 pub const OUT_OF_REACH: &str = "no server of the service is reached";
@@ -24,6 +25,12 @@
 /// Reason for refusing a relayed request: this instance is stopping.
 pub const STOPPING: &str = "instance is stopping";
 
+/// Reason for refusing a request: its body is longer than allowed.
+pub const BODY_TOO_LONG: &str = "body is too long";
+
+/// Reason for refusing a request: its body does not fit the memory.
+pub const NO_MEMORY: &str = "no memory for the body";
+
 /// The error of a body that ended before it was complete; holds the cause.
 #[derive(Clone, Debug)]
 pub struct IncompleteBody(pub SmolStr);
@@ -41,6 +48,7 @@
 
 enum Content {
     Full(Option<Bytes>),
+    Held(HeldBody),
     Streamed(ChunkStream),
 }
 
@@ -59,6 +67,14 @@
         }
     }
 
+    /// Creates a body from one that is held as a whole, and that may be shed if the caller does not read it.
+    pub fn held(body: HeldBody) -> Self {
+        Self {
+            content: Content::Held(body.into_answer()),
+            on_end: Vec::new(),
+        }
+    }
+
     /// Creates a body from chunks that arrive over time.
     pub fn streamed(chunks: ChunkStream) -> Self {
         Self {
@@ -84,6 +100,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
         match &mut self.content {
             Content::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Content::Held(body) if body.is_shed() => {
+                let error = IncompleteBody("memory is short".into());
+                Poll::Ready(Some(Err(error)))
+            }
+            Content::Held(body) => Poll::Ready(body.take_segment().map(|b| Ok(Frame::data(b)))),
             Content::Streamed(chunks) => chunks
                 .as_mut()
                 .poll_next(cx)
@@ -94,6 +115,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Held(body) => body.is_end_stream(),
             Content::Streamed(_) => false,
         }
     }
@@ -103,6 +125,7 @@
             Content::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
+            Content::Held(body) => body.size_hint(),
             Content::Streamed(_) => SizeHint::default(),
         }
     }
@@ -206,6 +229,11 @@
         matches!(self, Self::NotRun { reason, .. } if reasons.contains(reason))
     }
 
+    /// Whether the body of the request was refused before its end.
+    pub fn leaves_body_unread(&self) -> bool {
+        [BODY_TOO_LONG, NO_MEMORY].contains(&self.reason())
+    }
+
     /// Builds the HTTP answer, a JSON body with the reason and whether the request may have run.
     pub fn response(&self) -> Response<AnswerBody> {
         let run = match self {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Method, Uri};
 use jacinthlever_routing::{Fingerprint, FleetConfig, Route};
@@ -14,6 +13,7 @@
 use crate::answer::Verdict;
 use crate::charge::Charge;
 use crate::context::Context;
+use crate::held_body::HeldBody;
 use crate::sends::Sends;
 
 /// Hop-by-hop headers, which apply to one connection only; see RFC 9110, section 7.6.1.
@@ -39,7 +39,7 @@
     /// Headers that routing depends on.
     pub headers: CallerHeaders,
     /// Complete body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Route that matches the path.
     pub route: Route,
     /// Service selected by the traffic split of the route.
@@ -136,13 +136,15 @@
 }
 
 /// Hashes the parts of a request that make it equal to another one for a backend server.
-pub fn fingerprint(key: Option<&str>, method: &Method, uri: &Uri, body: &[u8]) -> Fingerprint {
+pub fn fingerprint(key: Option<&str>, method: &Method, uri: &Uri, body: &HeldBody) -> Fingerprint {
     let mut hasher = blake3::Hasher::new();
     for part in [key.unwrap_or(""), method.as_str(), &uri.to_string()] {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part.as_bytes());
     }
-    hasher.update(body);
+    for segment in body.segments() {
+        hasher.update(&segment);
+    }
     let mut word = [0; 8];
     word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
     Fingerprint(u64::from_le_bytes(word))
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -264,6 +264,9 @@
     let request_id = headers.request_id.clone();
     let in_flight = InFlightGuard::begin(cx, request_id.clone());
     let result = admit_and_answer(cx, req, headers, arrived, sender).await;
+    let verdict = result.as_ref().err();
+    let leaves_body_unread =
+        cx.memory.is_active() && verdict.is_some_and(Verdict::leaves_body_unread);
     let mut response = match result {
         Ok(response) => response,
         Err(verdict) => {
@@ -276,7 +279,7 @@
             response
         }
     };
-    if cx.state.borrow().is_draining {
+    if cx.state.borrow().is_draining || leaves_body_unread {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -5,9 +5,7 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -16,9 +14,10 @@
 use tokio::time::timeout;
 
 use crate::exchange::{NO_CONNECTION, SendError};
+use crate::held_body::HeldBody;
 
 /// Body of requests sent on a connection.
-pub type RequestBody = Full<Bytes>;
+pub type RequestBody = HeldBody;
 
 /// Time limit for connecting; longer than a round trip between availability zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -10,6 +10,7 @@
 
 use crate::capacity_queue::CapacityQueue;
 use crate::connection_pool::ConnectionPool;
+use crate::memory_budget::MemoryBudget;
 use crate::peers::{Message, ReceivedDigests};
 use crate::permits::Permits;
 use crate::relay::Relays;
@@ -43,6 +44,8 @@
     pub capacity_queue: CapacityQueue,
     /// Log of events.
     pub event_log: EventLog,
+    /// Budget for the bytes that are held for callers, instances and servers.
+    pub memory: Rc<MemoryBudget>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Digests of other zones that this instance has received.
@@ -113,6 +116,7 @@
             relays: Relays::default(),
             capacity_queue: CapacityQueue::default(),
             event_log: EventLog::spawn(clock)?,
+            memory: MemoryBudget::new(clock),
             metrics: Metrics::open()?,
             received_digests: RefCell::default(),
             permits: Permits::new(incarnation << CALL_NUMBER_BITS),
@@ -149,6 +153,17 @@
         self.settings.borrow().clone()
     }
 
+    /// Applies the settings and the configuration in force to the memory budget; returns whether there is
+    /// one.
+    pub fn refresh_memory_budget(&self) -> bool {
+        let memory_mb = self.settings.borrow().max_memory_mb;
+        let state = self.state.borrow();
+        let limits = state.config.as_ref().map(|config| config.limits);
+        self.memory
+            .configure(memory_mb, limits.unwrap_or_default().body_bytes);
+        memory_mb.is_some()
+    }
+
     /// Logs an event with its fields.
     pub fn log<const N: usize>(&self, code: EventCode, fields: [(&str, Value); N]) {
         self.event_log.log(code, fields);
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -110,13 +110,15 @@
     StreamsLoaded = 1523,
     /// A backend server sent the answer of another request where this one's was expected.
     ForeignAnswer = 1524,
+    /// Bodies or answers were refused or dropped, since the memory for them is used up.
+    MemoryShort = 1525,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 54] = [
+    pub const ALL: [Self; 55] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -170,6 +172,7 @@
         Self::RetryDenied,
         Self::StreamsLoaded,
         Self::ForeignAnswer,
+        Self::MemoryShort,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use jacinthlever_routing::{CallOutcome, ServerKey};
+use jacinthlever_routing::{CallOutcome, HoldingUse, ServerKey};
 use smol_str::SmolStr;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
@@ -21,6 +21,7 @@
 use crate::connection_pool::{Connection, RequestBody};
 use crate::context::Context;
 use crate::departures;
+use crate::held_body::{HeldBody, ReadError};
 use crate::pauses;
 use crate::permits;
 use crate::reach;
@@ -189,11 +190,12 @@
             method: request.method,
             path: request.path,
             headers,
-            body: Bytes::from(request.body),
+            body: Bytes::from(request.body).into(),
         };
         let exchange = Self::perform(cx, server, &target, call, CALL_TIMEOUT, None).await?;
         let status = exchange.status;
-        Ok((status, exchange.read_body(MAX_ANSWER_BYTES).await?))
+        let body = exchange.read_body(MAX_ANSWER_BYTES).await?;
+        Ok((status, body.to_bytes()))
     }
 
     async fn perform(
@@ -345,17 +347,19 @@
     /// Reads the entire body, within the time limit for the answer.
     ///
     /// # Errors
-    /// Fails if the body ends early, is longer than `max_bytes` or takes too long.
-    pub async fn read_body(mut self, max_bytes: usize) -> Result<Bytes, SendError> {
-        let left = self.deadline.saturating_sub(self.in_flight.cx.now());
-        let body = Limited::new(&mut self.body, max_bytes).collect();
+    /// Fails if the body ends early, is longer than `max_bytes`, takes too long or finds no memory.
+    pub async fn read_body(mut self, max_bytes: usize) -> Result<HeldBody, SendError> {
+        let cx = self.in_flight.cx.clone();
+        let left = self.deadline.saturating_sub(cx.now());
+        let body = HeldBody::read(&cx, &mut self.body, max_bytes, HoldingUse::Processing);
         match timeout(left, body).await {
             Ok(Ok(body)) => {
                 self.keep_connection();
-                Ok(body.to_bytes())
+                Ok(body)
             }
             Err(_) => Err(TIMED_OUT),
-            Ok(Err(_)) => {
+            Ok(Err(ReadError::NoMemory)) => Err(NO_ANSWER_MEMORY),
+            Ok(Err(ReadError::TooLong | ReadError::Broken)) => {
                 self.in_flight
                     .cx
                     .record_outcome(self.server, CallOutcome::Broken);
@@ -401,6 +405,9 @@
 /// The server has asked this instance for a pause.
 pub const PAUSED: SendError = SendError::Unsent("server has asked for a pause");
 
+/// The answer does not fit the memory.
+pub const NO_ANSWER_MEMORY: SendError = SendError::Lost("no memory for the answer");
+
 /// The server did not answer within the time limit of the send.
 pub const TIMED_OUT: SendError = SendError::Lost("no answer in time");
 
@@ -454,7 +461,7 @@
     method: Method,
     path: String,
     headers: HeaderMap,
-    body: Bytes,
+    body: HeldBody,
 }
 
 impl Outgoing {
@@ -462,7 +469,7 @@
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(self.path.as_str())
-            .body(Full::new(self.body.clone()))
+            .body(self.body.clone())
             .map_err(|_| SendError::Unsent("request cannot be written"))?;
         *request.headers_mut() = self.headers.clone();
         if !request.headers().contains_key(header::HOST) {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -204,7 +204,7 @@
             .await?
     } else {
         let body = decode.exchange.read_body(MAX_ANSWER_BYTES).await;
-        AnswerBody::full(body.map_err(|error| Verdict::lost(error.reason()))?)
+        AnswerBody::held(body.map_err(|error| Verdict::lost(error.reason()))?)
     };
     Ok(response(status, headers, body))
 }
@@ -238,7 +238,7 @@
             self.stream(StreamRun::Relayed(Box::new(answer))).await?
         } else {
             let body = answer.read_body().await;
-            AnswerBody::full(body.map_err(|error| Verdict::lost(error.reason()))?)
+            AnswerBody::held(body.map_err(|error| Verdict::lost(error.reason()))?)
         };
         Ok(response(status, headers, body))
     }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -119,6 +119,7 @@
         );
         cx.metrics.record_lost_services(state.lost_services().len());
         drop(state);
+        report_memory(&cx);
         cx.connection_pool.evict_expired(now);
         cx.relays.evict_expired(now);
         quarantine::remove_expired(&cx);
@@ -136,6 +137,25 @@
     }
 }
 
+/// Records what is held, and logs a shortage of memory.
+fn report_memory(cx: &Context) {
+    if !cx.refresh_memory_budget() {
+        return;
+    }
+    cx.metrics.record_held_bytes(cx.memory.held());
+    if let Some(refused) = cx.memory.take_report() {
+        cx.metrics.count_memory_refusals(refused);
+        cx.log(
+            EventCode::MemoryShort,
+            [
+                ("refused", refused.into()),
+                ("held_bytes", cx.memory.held().into()),
+                ("budget_bytes", cx.memory.capacity().into()),
+            ],
+        );
+    }
+}
+
 /// Returns the names of the peers of this zone and of the other zones that are reachable.
 fn reachable_members(cx: &Context) -> BTreeSet<SmolStr> {
     let state = cx.state.borrow();
--- /dev/null
+++ b/crates/gateway/src/memory_budget.rs
@@ -0,0 +1,130 @@
+//! Budget for the bytes that an instance holds for callers, other instances and backend servers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use jacinthlever_routing::{HoldingId, HoldingUse, MemoryLedger, MemoryShortage};
+
+use crate::Clock;
+use crate::memory_lease::{HeldBytes, MemoryLease};
+
+/// Part of the machine's memory that the budget is. The rest is for the process itself, its connections
+/// and what the allocator cannot give back.
+const BUDGET_PART: usize = 3;
+
+/// Bytes in a megabyte of the setting.
+const BYTES_PER_MB: usize = 1_000_000;
+
+/// Shortest time between two reports of a shortage.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Budget of one instance. It is inactive, and costs nothing, unless the settings state the memory of the
+/// machine.
+pub struct MemoryBudget {
+    clock: Clock,
+    is_active: Cell<bool>,
+    ledger: RefCell<MemoryLedger>,
+    held: RefCell<BTreeMap<HoldingId, Weak<HeldBytes>>>,
+    /// Bodies and answers refused or shed since the last report.
+    unreported: Cell<u64>,
+    reported_at: Cell<Duration>,
+}
+
+impl MemoryBudget {
+    /// Creates an inactive budget.
+    pub fn new(clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            is_active: Cell::new(false),
+            ledger: RefCell::default(),
+            held: RefCell::default(),
+            unreported: Cell::new(0),
+            reported_at: Cell::new(Duration::ZERO),
+        })
+    }
+
+    /// Sets the memory of the machine, in megabytes, and the size of the largest legal body, in bytes. The
+    /// budget has room for two such bodies at least, so that one is served when there is no overload.
+    pub fn configure(&self, memory_mb: Option<usize>, body_bytes: usize) {
+        self.is_active.set(memory_mb.is_some());
+        if let Some(mb) = memory_mb {
+            let part = mb.saturating_mul(BYTES_PER_MB) / BUDGET_PART;
+            let capacity = part.max(body_bytes.saturating_mul(2));
+            self.ledger.borrow_mut().set_capacity(capacity);
+        }
+    }
+
+    /// Whether the settings state the memory of the machine.
+    pub fn is_active(&self) -> bool {
+        self.is_active.get()
+    }
+
+    /// Returns the number of bytes held.
+    pub fn held(&self) -> usize {
+        self.ledger.borrow().held()
+    }
+
+    /// Returns the size of the budget in bytes.
+    pub fn capacity(&self) -> usize {
+        self.ledger.borrow().capacity()
+    }
+
+    /// Opens a lease without bytes. `announced` is the final size, if that is known.
+    pub fn open(self: &Rc<Self>, usage: HoldingUse, announced: Option<usize>) -> MemoryLease {
+        let now = self.clock.now();
+        let id = self.ledger.borrow_mut().open(now, usage, announced);
+        let bytes = Rc::new(HeldBytes::default());
+        self.held.borrow_mut().insert(id, Rc::downgrade(&bytes));
+        MemoryLease::new(self.clone(), id, bytes)
+    }
+
+    /// Takes bytes for a lease before they are allocated. What is shed for it is freed at once.
+    ///
+    /// # Errors
+    /// Fails if the memory is short.
+    pub fn grow(&self, id: HoldingId, bytes: usize) -> Result<(), MemoryShortage> {
+        let now = self.clock.now();
+        let (shed, result) = self.ledger.borrow_mut().grow(now, id, bytes);
+        let refused = shed.len() as u64 + u64::from(result.is_err());
+        self.unreported.set(self.unreported.get() + refused);
+        for other in shed {
+            let held = self.held.borrow_mut().remove(&other);
+            if let Some(held) = held.and_then(|held| held.upgrade()) {
+                held.shed();
+            }
+        }
+        result
+    }
+
+    /// Records that bytes of a lease were received or sent.
+    pub fn record_progress(&self, id: HoldingId, bytes: usize) {
+        let now = self.clock.now();
+        self.ledger.borrow_mut().record_progress(now, id, bytes);
+    }
+
+    /// Changes what a lease is used for.
+    pub fn set_use(&self, id: HoldingId, usage: HoldingUse) {
+        let now = self.clock.now();
+        self.ledger.borrow_mut().set_use(now, id, usage);
+    }
+
+    /// Gives back the bytes of a lease.
+    pub fn release(&self, id: HoldingId) {
+        self.held.borrow_mut().remove(&id);
+        self.ledger.borrow_mut().release(id);
+    }
+
+    /// Returns how many bodies and answers were refused or shed since the last report, at most once per
+    /// [`REPORT_INTERVAL`]; `None` if there were none or it is too early.
+    pub fn take_report(&self) -> Option<u64> {
+        let now = self.clock.now();
+        let is_due = now >= self.reported_at.get() + REPORT_INTERVAL;
+        if self.unreported.get() == 0 || !is_due {
+            return None;
+        }
+        self.reported_at.set(now);
+        Some(self.unreported.replace(0))
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     relayed: Counter<u64>,
     retries: Counter<u64>,
     lost_services: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    memory_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -79,6 +81,8 @@
             relayed: meter.u64_counter("jacinthlever_relayed_requests").build(),
             retries: meter.u64_counter("jacinthlever_retries").build(),
             lost_services: meter.u64_gauge("jacinthlever_lost_services").build(),
+            held_bytes: meter.u64_gauge("jacinthlever_held_bytes").build(),
+            memory_refusals: meter.u64_counter("jacinthlever_memory_refusals").build(),
             registry,
             _provider: provider,
         })
@@ -191,6 +195,16 @@
         self.leaving_servers.record(leaving as u64, &[]);
     }
 
+    /// Records the bytes that are held for callers, instances and servers.
+    pub fn record_held_bytes(&self, bytes: usize) {
+        self.held_bytes.record(bytes as u64, &[]);
+    }
+
+    /// Counts bodies and answers that were refused or dropped for lack of memory.
+    pub fn count_memory_refusals(&self, count: u64) {
+        self.memory_refusals.add(count, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -19,6 +18,7 @@
     Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_CONNECTION, NO_SERVER_NOW, SendError, TIMED_OUT,
     implies_not_run, log_send_failure,
 };
+use crate::held_body::HeldBody;
 use crate::reach;
 use crate::relay::{self, NO_RELAY};
 use crate::sends::SendTicket;
@@ -39,7 +39,7 @@
 struct FullResponse {
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    body: HeldBody,
     /// Whether a server has given it; otherwise it is the verdict of another instance.
     is_from_server: bool,
 }
@@ -52,7 +52,7 @@
     /// Fails if the stream ends inside an event.
     fn check_whole(self, req: &CallerRequest) -> Result<Self, SendError> {
         let is_stream = req.route.kind == RouteKind::Stream && self.status.is_success();
-        match !is_stream || is_whole_stream(&self.body) {
+        match !is_stream || is_whole_stream(&self.body.to_bytes()) {
             true => Ok(self),
             false => Err(BROKEN_OFF),
         }
@@ -95,7 +95,7 @@
         is_passed_on: false,
     };
     let answer = call.run().await?;
-    let mut response = Response::new(AnswerBody::full(answer.body));
+    let mut response = Response::new(AnswerBody::held(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
     Ok(response)
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -232,7 +232,7 @@
         return Err(SendError::Lost("prefill failed"));
     }
     let dialect = cx.adapter.servers;
-    match (dialect.prefill_result)(&body) {
+    match (dialect.prefill_result)(&body.to_bytes()) {
         Ok(result) => {
             let kv = KvCache::at(cx, server, result.handle, tokens);
             Ok(Prefilled {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jacinthlever_routing::RouteKind;
+use jacinthlever_routing::{HoldingUse, RouteKind};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -22,8 +22,10 @@
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::context::Context;
 use crate::exchange::{
-    MAX_ANSWER_BYTES, SendError, TIMED_OUT, forwardable_headers, head_timeout, idle_timeout,
+    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, forwardable_headers, head_timeout,
+    idle_timeout,
 };
+use crate::held_body::{HeldBody, ReadError};
 use crate::reach;
 use crate::sends::{BUDGET_SPENT, SendTicket};
 
@@ -296,7 +298,7 @@
         let mut request = Request::builder()
             .method(req.method.clone())
             .uri(req.uri.to_string())
-            .body(Full::new(req.body.clone()))
+            .body(req.body.clone())
             .map_err(|_| SendError::Unsent("request cannot be written"))?;
         let mut headers = req.forwarded.clone();
         (cx.adapter.callers.set_timeout)(&mut headers, req.time_left(cx.now()));
@@ -323,16 +325,21 @@
     /// Reads the entire body, up to the caller's deadline.
     ///
     /// # Errors
-    /// Fails if the body ends early, is too long or takes too long.
-    pub async fn read_body(mut self) -> Result<Bytes, SendError> {
-        let left = self.req.time_left(self.cx.now());
-        let body = Limited::new(&mut self.body, MAX_ANSWER_BYTES).collect();
+    /// Fails if the body ends early, is too long, takes too long or finds no memory.
+    pub async fn read_body(mut self) -> Result<HeldBody, SendError> {
+        let cx = self.cx.clone();
+        let left = self.req.time_left(cx.now());
+        let usage = HoldingUse::Processing;
+        let body = HeldBody::read(&cx, &mut self.body, MAX_ANSWER_BYTES, usage);
         match timeout(left, body).await {
             Ok(Ok(body)) => {
                 self.keep_connection();
-                Ok(body.to_bytes())
+                Ok(body)
+            }
+            Ok(Err(ReadError::NoMemory)) => Err(NO_ANSWER_MEMORY),
+            Ok(Err(ReadError::TooLong | ReadError::Broken)) => {
+                Err(SendError::Lost("answer ended early"))
             }
-            Ok(Err(_)) => Err(SendError::Lost("answer ended early")),
             Err(_) => Err(TIMED_OUT),
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,9 @@
     pub listen: Listen,
     /// Maximum number of file descriptors that the process may open.
     pub max_descriptors: usize,
+    /// Memory of the machine, in megabytes; without it there is no budget for what is held.
+    #[serde(default)]
+    pub max_memory_mb: Option<usize>,
     /// Location of the platform's store.
     pub store: StoreSettings,
     /// Bounds that the operators guarantee.
@@ -175,6 +178,9 @@
 /// Minimum number of descriptors with which an instance can work.
 const MIN_DESCRIPTORS: usize = 256;
 
+/// Memory, in megabytes, below which the process itself does not fit.
+const MIN_MEMORY_MB: usize = 16;
+
 impl Settings {
     /// Reads and validates a settings file.
     ///
@@ -221,6 +227,11 @@
                 "max_descriptors",
                 "at least 256",
             ),
+            (
+                self.max_memory_mb.is_none_or(|mb| mb >= MIN_MEMORY_MB),
+                "max_memory_mb",
+                "at least 16",
+            ),
             (
                 bounds.revoke_ms >= 1000,
                 "bounds.revoke_ms",
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::timeout;
@@ -323,7 +323,7 @@
             .method(call.method)
             .uri(call.path)
             .header(http::header::HOST, &address)
-            .body(Full::new(Bytes::from(call.body)))
+            .body(Bytes::from(call.body).into())
             .map_err(|error| StoreError::Unreadable(error.to_string()))?;
         sender.ready().await.map_err(|_| StoreError::Unreachable)?;
         let response = sender.send_request(request).await;
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -11,6 +11,7 @@
             "peers": "127.0.0.1:4", "metrics": "127.0.0.1:5",
         },
         "max_descriptors": 1024,
+        "max_memory_mb": 88,
         "store": { "address": "127.0.0.1:6" },
         "bounds": {
             "revoke_ms": 5000, "grace_s": 8.0, "resend_ratio": 0.2, "resend_window_s": 10.0,
@@ -43,6 +44,11 @@
             json!(10),
             "max_descriptors: expected at least 256",
         ),
+        (
+            "/max_memory_mb",
+            json!(10),
+            "max_memory_mb: expected at least 16",
+        ),
         (
             "/bounds/revoke_ms",
             json!(10),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 mod event_stream;
 mod forwarding;
 mod membership;
+mod memory_ledger;
 mod named_limit;
 mod over_limit;
 mod pace;
@@ -49,6 +50,7 @@
     Delegate, DigestOutcome, KEEPERS, LostServices, Member, MemberStatus, Membership,
     RelayCandidates, ReportOutcome, ZoneDigest, report_interval,
 };
+pub use memory_ledger::{HoldingId, HoldingUse, MemoryLedger, MemoryShortage, SMALL_BYTES};
 pub use named_limit::{LimitChange, LimitStatement, NamedLimit};
 pub use over_limit::OverLimit;
 pub use permit_ledger::{COUNTED_BEFORE_LIMIT, LIMIT_NOTICE, PermitCall, PermitLedger};
