Less memory for each connection of a crowd

Cause: 2,200 connections to a machine of 88 MB took 54 MB before they had sent anything, since each had room for the whole future of a request. The system held up to 246 MB for them that had arrived and was not read yet. Buffers of connections to servers grew to 400 KiB, and the end of an answer that nobody reads stayed in hyper's buffer, uncounted.

Change: the futures of a request and of its answer are boxed. With max_memory_mb, connections beyond a number that the system's part of the memory allows get small socket buffers and are read in small pieces; buffers of connections to servers are bounded; a request counts 8 KiB besides its body; an answer counts until it is written, and its connection is closed if it is shed or does not end after the idle time-out.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 
 use crate::exchange::NO_CONNECTION;
 use crate::held_body::HeldBody;
+use crate::memory_lease::MemoryLease;
 
 /// Reason for refusing a request: this instance reaches no server of its service.
 pub const OUT_OF_REACH: &str = "no server of the service is reached";
@@ -83,6 +85,14 @@
         }
     }
 
+    /// Returns the memory that the body holds, if it counts against the budget.
+    pub fn lease(&self) -> Option<Rc<MemoryLease>> {
+        match &self.content {
+            Content::Held(body) => body.lease(),
+            Content::Full(_) | Content::Streamed(_) => None,
+        }
+    }
+
     /// Adds a callback that runs when the body is dropped, whether or not it was sent to the end.
     pub fn on_end(mut self, end: impl FnOnce() + 'static) -> Self {
         self.on_end.push(Box::new(end));
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -24,7 +24,9 @@
 use crate::caller_request::CallerRequest;
 use crate::connection::{ActivityMonitor, MonitoredStream, TimeoutKind};
 use crate::context::Context;
+use crate::memory_budget::BYTES_PER_MB;
 use crate::relay::{RelayTerms, UNREACHED_HEADER};
+use crate::socket_buffers::SocketBuffers;
 use crate::{CallerHeaders, EventCode, generation, plain};
 
 /// Descriptors reserved for files, listeners, and connections to peers and the store.
@@ -88,10 +90,16 @@
                 continue;
             }
         };
+        let mut is_crowded = false;
+        if let Some(mb) = cx.settings().max_memory_mb {
+            let share = sender.descriptor_share() / (CALLER_SHARE + RELAY_SHARE);
+            let buffers = SocketBuffers::new(mb.saturating_mul(BYTES_PER_MB), share, max_open);
+            is_crowded = buffers.apply(&stream, open.get());
+        }
         open.set(open.get() + 1);
         let (cx, open) = (cx.clone(), open.clone());
         tokio::task::spawn_local(async move {
-            serve_connection(cx, stream, sender).await;
+            serve_connection(cx, stream, sender, is_crowded).await;
             open.set(open.get() - 1);
         });
     }
@@ -150,24 +158,31 @@
     }
 }
 
-async fn serve_connection(cx: Rc<Context>, stream: TcpStream, sender: Sender) {
+/// Serves a connection; it holds less memory if it is one of a crowd.
+async fn serve_connection(cx: Rc<Context>, stream: TcpStream, sender: Sender, is_crowded: bool) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY not set on a caller's connection: {error}");
     }
     let monitor = ActivityMonitor::start();
     let limits = connection_limits(&cx, sender);
-    let io = TokioIo::new(MonitoredStream::new(stream, monitor.clone()));
+    let mut stream = MonitoredStream::new(stream, monitor.clone());
+    if is_crowded {
+        stream.limit_reads();
+    }
+    let io = TokioIo::new(stream);
     let service = {
         let (cx, monitor) = (cx.clone(), monitor.clone());
         service_fn(move |req| {
             monitor.request_started();
             let (cx, monitor) = (cx.clone(), monitor.clone());
-            async move {
+            // Boxed, since a connection has room for this future also while it is idle.
+            Box::pin(async move {
                 let response = respond(&cx, req, sender).await;
+                monitor.hold_answer(response.body().lease());
                 Ok::<_, Infallible>(
                     response.map(|body| body.on_end(move || monitor.request_finished())),
                 )
-            }
+            })
         })
     };
     // hyper panics if the buffer is smaller than 8192 bytes.
@@ -193,6 +208,14 @@
                     cx.log(EventCode::ConnectionTimedOut, []);
                     return;
                 }
+                TimeoutKind::Shed => return,
+                TimeoutKind::Idle if cx.memory.is_active() => {
+                    // A caller that does not read the end of an answer would keep the connection.
+                    connection.as_mut().graceful_shutdown();
+                    let ended = timeout(limits.header_timeout, connection.as_mut()).await;
+                    log::trace!("idle connection of a caller closed in time: {}", ended.is_ok());
+                    return;
+                }
                 TimeoutKind::Idle => {
                     connection.as_mut().graceful_shutdown();
                     let served = connection.as_mut().await;
@@ -300,7 +323,8 @@
         Sender::Instance => Some(RelayTerms::of(req.headers())),
     };
     let result = match admit(cx, req, headers, relayed, &mut summary).await {
-        Ok(req) => answer(cx, Rc::new(req)).await,
+        // Boxed, so that a request whose body is being received does not have room for it.
+        Ok(req) => Box::pin(answer(cx, Rc::new(req))).await,
         Err(verdict) => Err(verdict),
     };
     if let Err(verdict) = &result {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,6 @@
 //! Detects slow header sections and idleness on callers' connections.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,6 +12,12 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
+use crate::memory_lease::MemoryLease;
+
+/// Maximum size of a read while memory is saved, in bytes. hyper doubles its buffer of 8 KiB after each
+/// read that fills it.
+const SMALL_READ_BYTES: usize = 4 * 1024;
+
 /// State of a caller's connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
@@ -30,12 +36,16 @@
     Idle,
     /// A header section was not complete within the header time-out.
     SlowHead,
+    /// An answer was shed that the caller does not read.
+    Shed,
 }
 
 /// Phase of a connection and the time at which it began.
 pub struct ActivityMonitor {
     phase: Cell<Phase>,
     since: Cell<Instant>,
+    /// Memory of the answer that is being sent, also of the end that waits in the connection's buffer.
+    answer: RefCell<Option<Rc<MemoryLease>>>,
 }
 
 impl ActivityMonitor {
@@ -44,6 +54,7 @@
         Rc::new(Self {
             phase: Cell::new(Phase::Idle),
             since: Cell::new(Instant::now()),
+            answer: RefCell::default(),
         })
     }
 
@@ -57,6 +68,22 @@
         self.enter(Phase::Idle);
     }
 
+    /// Holds the memory of an answer until it has been sent.
+    pub fn hold_answer(&self, lease: Option<Rc<MemoryLease>>) {
+        self.answer.replace(lease);
+    }
+
+    fn all_sent(&self) {
+        if self.phase.get() != Phase::Busy {
+            self.answer.take();
+        }
+    }
+
+    fn is_answer_shed(&self) -> bool {
+        let answer = self.answer.borrow();
+        answer.as_ref().is_some_and(|lease| lease.bytes.is_shed())
+    }
+
     fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
@@ -68,9 +95,12 @@
         }
     }
 
-    /// Waits until the connection exceeds its idle time-out or header time-out.
+    /// Waits until the connection exceeds its idle time-out or header time-out, or its answer is shed.
     pub async fn timed_out(&self, limits: CallerLimits) -> TimeoutKind {
         loop {
+            if self.is_answer_shed() {
+                return TimeoutKind::Shed;
+            }
             let (kind, limit) = match self.phase.get() {
                 Phase::Idle => (TimeoutKind::Idle, limits.idle_timeout),
                 Phase::Head => (TimeoutKind::SlowHead, limits.header_timeout),
@@ -98,12 +128,22 @@
 pub struct MonitoredStream {
     stream: TcpStream,
     monitor: Rc<ActivityMonitor>,
+    has_small_reads: bool,
 }
 
 impl MonitoredStream {
     /// Wraps a connection so that `monitor` is notified of received bytes.
     pub fn new(stream: TcpStream, monitor: Rc<ActivityMonitor>) -> Self {
-        Self { stream, monitor }
+        Self {
+            stream,
+            monitor,
+            has_small_reads: false,
+        }
+    }
+
+    /// Reads little at a time from now on, so that the buffer into which it is read stays small.
+    pub fn limit_reads(&mut self) {
+        self.has_small_reads = true;
     }
 }
 
@@ -114,7 +154,19 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = match self.has_small_reads {
+            false => Pin::new(&mut self.stream).poll_read(cx, buf),
+            true => {
+                // Nothing is written to the buffer of a connection on which nothing arrives.
+                std::task::ready!(self.stream.poll_read_ready(cx))?;
+                let size = buf.remaining().min(SMALL_READ_BYTES);
+                let mut part = ReadBuf::new(buf.initialize_unfilled_to(size));
+                let polled = Pin::new(&mut self.stream).poll_read(cx, &mut part);
+                let length = part.filled().len();
+                buf.advance(length);
+                polled
+            }
+        };
         if buf.filled().len() > before {
             self.monitor.bytes_received();
         }
@@ -132,7 +184,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if polled.is_ready() {
+            self.monitor.all_sent();
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::context::Context;
 use crate::exchange::{NO_CONNECTION, SendError};
 use crate::held_body::HeldBody;
 
@@ -34,6 +35,10 @@
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 32;
 
+/// Size of the buffer of a connection while memory is bounded, in bytes; hyper's own bound is 400 KiB.
+/// The head of an answer has to fit.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
+
 struct IdleConnection {
     sender: SendRequest<RequestBody>,
     usable_until: Duration,
@@ -52,8 +57,10 @@
     ///
     /// # Errors
     /// Fails if the connection cannot be established within [`CONNECT_TIMEOUT`].
-    pub async fn open(address: &str) -> Result<Self, SendError> {
-        let sender = connect(address).await.map_err(|_| NO_CONNECTION)?;
+    pub async fn open(cx: &Context, address: &str) -> Result<Self, SendError> {
+        let max_buffer = cx.memory.is_active().then_some(MAX_BUFFER_BYTES);
+        let sender = connect(address, max_buffer).await;
+        let sender = sender.map_err(|_| NO_CONNECTION)?;
         Ok(Self {
             sender,
             is_reused: false,
@@ -147,17 +154,24 @@
     }
 }
 
-/// Opens a connection to an address.
+/// Opens a connection to an address, with a buffer of up to `max_buffer` bytes or of hyper's default size.
 ///
 /// # Errors
 /// Fails if the connection cannot be established within [`CONNECT_TIMEOUT`].
-pub async fn connect(address: &str) -> io::Result<SendRequest<RequestBody>> {
+pub async fn connect(
+    address: &str,
+    max_buffer: Option<usize>,
+) -> io::Result<SendRequest<RequestBody>> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+    let mut client = http1::Builder::new();
+    if let Some(bytes) = max_buffer {
+        client.max_buf_size(bytes);
+    }
+    let handshake = client.handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -495,7 +495,7 @@
         let idle = cx.connection_pool.reuse(cx.now(), &server);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => Connection::open(&target.address).await?,
+            None => Connection::open(cx, &target.address).await?,
         };
         if caller_send.is_some_and(|c| !c.req.is_still_authorized(cx)) {
             return Err(KEY_REVOKED);
--- a/crates/gateway/src/held_body.rs
+++ b/crates/gateway/src/held_body.rs
@@ -14,6 +14,10 @@
 use crate::context::Context;
 use crate::memory_lease::{HeldBytes, MemoryLease};
 
+/// Memory of a request besides its body: its headers, and the state of its task. 2,200 requests that waited
+/// for their bodies took 9 KB each.
+const REQUEST_BYTES: usize = 8 * 1024;
+
 /// Why a body was not read to its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadError {
@@ -61,6 +65,10 @@
             return Err(ReadError::TooLong);
         }
         let lease = cx.memory.open(usage, announced);
+        if usage == HoldingUse::Receiving {
+            let reserved = lease.reserve(REQUEST_BYTES);
+            reserved.map_err(|_| ReadError::NoMemory)?;
+        }
         let mut len = 0;
         loop {
             let frame = tokio::select! {
@@ -126,6 +134,11 @@
         self
     }
 
+    /// Returns the memory that the body holds; `None` without a budget.
+    pub fn lease(&self) -> Option<Rc<MemoryLease>> {
+        self.lease.clone()
+    }
+
     /// Whether the body was shed, so that it cannot be sent to its end.
     pub fn is_shed(&self) -> bool {
         self.bytes.is_shed()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod sends;
 mod server_limits;
 mod settings;
+mod socket_buffers;
 mod state;
 mod store;
 mod store_version;
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -14,8 +14,8 @@
 /// and what the allocator cannot give back.
 const BUDGET_PART: usize = 3;
 
-/// Bytes in a megabyte of the setting.
-const BYTES_PER_MB: usize = 1_000_000;
+/// Bytes in a megabyte of the setting `max_memory_mb`.
+pub const BYTES_PER_MB: usize = 1_000_000;
 
 /// Shortest time between two reports of a shortage.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/memory_lease.rs
+++ b/crates/gateway/src/memory_lease.rs
@@ -102,6 +102,14 @@
         Ok(())
     }
 
+    /// Takes bytes that are not part of the body.
+    ///
+    /// # Errors
+    /// Fails if the memory is short.
+    pub fn reserve(&self, bytes: usize) -> Result<(), MemoryShortage> {
+        self.budget.grow(self.id, bytes)
+    }
+
     fn room(&self) -> usize {
         let last = self.bytes.last.borrow();
         last.capacity() - last.len()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -293,7 +293,7 @@
         let idle = cx.relays.pool.reuse(cx.now(), address);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => Connection::open(address).await?,
+            None => Connection::open(cx, address).await?,
         };
         let mut request = Request::builder()
             .method(req.method.clone())
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -315,7 +315,7 @@
         let idle = self.connection.take().filter(|c| !c.is_closed());
         let mut sender = match idle {
             Some(sender) => sender,
-            None => connect(&address)
+            None => connect(&address, None)
                 .await
                 .map_err(|_| StoreError::Unreachable)?,
         };
