A small read writes to its buffer only when bytes have arrived

Cause: the first read on each connection of a crowd wrote zeros to 4 KiB of a buffer that had taken no memory until then.

Change: a small read goes through the stack.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use jacinthlever_routing::CallerLimits;
@@ -145,6 +145,28 @@
     pub fn limit_reads(&mut self) {
         self.has_small_reads = true;
     }
+
+    /// Reads a small piece. The buffer is written to only when one has arrived: pages of it that were never
+    /// written to take no memory.
+    fn poll_small_read(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            let mut piece = [0; SMALL_READ_BYTES];
+            let size = buf.remaining().min(SMALL_READ_BYTES);
+            match self.stream.try_read(&mut piece[..size]) {
+                Ok(length) => {
+                    buf.put_slice(&piece[..length]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
 }
 
 impl AsyncRead for MonitoredStream {
@@ -156,16 +178,7 @@
         let before = buf.filled().len();
         let polled = match self.has_small_reads {
             false => Pin::new(&mut self.stream).poll_read(cx, buf),
-            true => {
-                // Nothing is written to the buffer of a connection on which nothing arrives.
-                std::task::ready!(self.stream.poll_read_ready(cx))?;
-                let size = buf.remaining().min(SMALL_READ_BYTES);
-                let mut part = ReadBuf::new(buf.initialize_unfilled_to(size));
-                let polled = Pin::new(&mut self.stream).poll_read(cx, &mut part);
-                let length = part.filled().len();
-                buf.advance(length);
-                polled
-            }
+            true => self.poll_small_read(cx, buf),
         };
         if buf.filled().len() > before {
             self.monitor.bytes_received();
