--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -120,6 +120,8 @@
     StreamsLoaded = 1523,
     /// A backend server sent the answer of another request where this one's was expected.
     ForeignAnswer = 1524,
+    /// Bodies or answers were refused or dropped, since the memory for them is used up.
+    MemoryShort = 1525,
     /// A generation was refused at once, since its turn is expected only after it stops waiting.
     WaitTooLong = 1530,
     /// All servers of a service have just refused requests, and a request waits for the first of them.
@@ -130,7 +132,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 61] = [
+    pub const ALL: [Self; 62] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -189,6 +191,7 @@
         Self::RetryDenied,
         Self::StreamsLoaded,
         Self::ForeignAnswer,
+        Self::MemoryShort,
         Self::WaitTooLong,
         Self::ServersFull,
         Self::LinesDropped,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -210,7 +210,7 @@
             .await?
     } else {
         let body = decode.exchange.read_body(MAX_ANSWER_BYTES).await;
-        AnswerBody::full(body.map_err(|error| Verdict::lost(error.reason()))?)
+        AnswerBody::held(body.map_err(|error| Verdict::lost(error.reason()))?)
     };
     Ok(response(status, headers, body))
 }
@@ -244,7 +244,7 @@
             self.stream(StreamRun::Relayed(Box::new(answer))).await?
         } else {
             let body = answer.read_body().await;
-            AnswerBody::full(body.map_err(|error| Verdict::lost(error.reason()))?)
+            AnswerBody::held(body.map_err(|error| Verdict::lost(error.reason()))?)
         };
         Ok(response(status, headers, body))
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     discarded_rates: Counter<u64>,
     early_refusals: Counter<u64>,
     expected_wait: Histogram<f64>,
+    held_bytes: Gauge<u64>,
+    memory_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -99,6 +101,8 @@
             discarded_rates: meter.u64_counter("jacinthlever_discarded_rates").build(),
             early_refusals: meter.u64_counter("jacinthlever_early_refusals").build(),
             expected_wait,
+            held_bytes: meter.u64_gauge("jacinthlever_held_bytes").build(),
+            memory_refusals: meter.u64_counter("jacinthlever_memory_refusals").build(),
             registry,
             _provider: provider,
         })
@@ -260,6 +264,16 @@
         self.permits.add(count.into(), &labels);
     }
 
+    /// Records the bytes that are held for callers, instances and servers.
+    pub fn record_held_bytes(&self, bytes: usize) {
+        self.held_bytes.record(bytes as u64, &[]);
+    }
+
+    /// Counts bodies and answers that were refused or dropped for lack of memory.
+    pub fn count_memory_refusals(&self, count: u64) {
+        self.memory_refusals.add(count, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod event_stream;
 mod forwarding;
 mod membership;
+mod memory_ledger;
 mod named_limit;
 mod output_estimates;
 mod over_limit;
@@ -61,6 +62,7 @@
     Delegate, DigestOutcome, KEEPERS, LostServices, Member, MemberStatus, Membership,
     RelayCandidates, ReportOutcome, ZoneDigest, report_interval,
 };
+pub use memory_ledger::{HoldingId, HoldingUse, MemoryLedger, MemoryShortage, SMALL_BYTES};
 pub use named_limit::{LimitChange, LimitStatement, NamedLimit};
 pub use output_estimates::OutputEstimates;
 pub use over_limit::OverLimit;
