--- a/crates/gateway/src/capacity_queue.rs
+++ b/crates/gateway/src/capacity_queue.rs
@@ -1,61 +1,58 @@
-//! Queue of the generations of one instance that wait for engine memory.
+//! Priority queue of the generations that wait for engine memory.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use jacinthlever_routing::{WaiterId, WaitingGeneration, WaitingQueue};
 use tokio::sync::Notify;
 
-use crate::Clock;
+/// Number of generations at the head of the queue that may request reservations concurrently.
+const MAX_CONCURRENT_REQUESTERS: usize = 3;
+
+/// Position in the queue: ordered by priority, then by deadline, then by arrival.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Time at which the generation stops waiting.
+    pub until: Duration,
+    number: u64,
+}
 
 /// Queue of the generations of one instance that wait for engine memory.
+#[derive(Default)]
 pub struct CapacityQueue {
-    queue: RefCell<WaitingQueue>,
-    clock: Clock,
+    positions: RefCell<BTreeMap<Position, ()>>,
+    next_number: Cell<u64>,
     changed: Notify,
 }
 
 /// A waiting generation; it leaves the queue when this is dropped.
 pub struct Waiter<'a> {
     queue: &'a CapacityQueue,
-    id: WaiterId,
+    position: Position,
 }
 
 impl CapacityQueue {
-    /// Creates an empty queue.
-    pub fn new(clock: Clock) -> Self {
-        Self {
-            queue: RefCell::default(),
-            clock,
-            changed: Notify::new(),
+    /// Adds a generation that waits until `until`.
+    pub fn enqueue(&self, priority: u8, until: Duration) -> Waiter<'_> {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let position = Position {
+            priority,
+            until,
+            number,
+        };
+        self.positions.borrow_mut().insert(position, ());
+        Waiter {
+            queue: self,
+            position,
         }
     }
 
-    /// Turns scheduling by shares and estimates on or off.
-    pub fn set_scheduling(&self, is_on: bool) {
-        self.queue.borrow_mut().set_scheduling(is_on);
-    }
-
-    /// Adds a generation.
-    pub fn enqueue(&self, generation: WaitingGeneration) -> Waiter<'_> {
-        let id = self.queue.borrow_mut().enqueue(generation);
-        Waiter { queue: self, id }
-    }
-
     /// Returns the number of waiting generations.
     pub fn waiting(&self) -> usize {
-        self.queue.borrow().len()
-    }
-
-    /// Returns the time after which the waiting generations of a service are expected to have been
-    /// served; `None` without an estimate.
-    pub fn drain_time(&self, service: &str) -> Option<Duration> {
-        self.queue.borrow().drain_time(self.clock.now(), service)
-    }
-
-    /// Returns the number of grants on which the estimate for a service rests.
-    pub fn grants(&self, service: &str) -> usize {
-        self.queue.borrow().grants(self.clock.now(), service)
+        self.positions.borrow().len()
     }
 
     /// Wakes all waiting generations, since an engine may have free memory.
@@ -67,39 +64,11 @@
 impl Waiter<'_> {
     /// Whether this generation is close enough to the head of the queue to request reservations.
     pub fn is_turn(&self) -> bool {
-        let mut queue = self.queue.queue.borrow_mut();
-        queue.is_turn(self.queue.clock.now(), self.id)
-    }
-
-    /// Returns how many generations are served before this one; `None` while scheduling is off.
-    pub fn position(&self) -> Option<usize> {
-        let mut queue = self.queue.queue.borrow_mut();
-        queue.position(self.queue.clock.now(), self.id)
-    }
-
-    /// Returns the time after which this generation is expected to obtain memory; `None` without an
-    /// estimate.
-    pub fn expected_wait(&self) -> Option<Duration> {
-        let mut queue = self.queue.queue.borrow_mut();
-        queue.expected_wait(self.queue.clock.now(), self.id)
-    }
-
-    /// Whether this generation is expected to obtain memory only after it has stopped waiting.
-    pub fn is_turn_too_late(&self) -> bool {
-        let mut queue = self.queue.queue.borrow_mut();
-        queue.is_turn_too_late(self.queue.clock.now(), self.id)
-    }
-
-    /// Records that this generation has obtained memory.
-    pub fn record_grant(&self) {
-        let mut queue = self.queue.queue.borrow_mut();
-        queue.record_grant(self.queue.clock.now(), self.id);
-    }
-
-    /// Records that this generation has found no engine with room.
-    pub fn record_no_room(&self) {
-        let mut queue = self.queue.queue.borrow_mut();
-        queue.record_no_room(self.queue.clock.now(), self.id);
+        let positions = self.queue.positions.borrow();
+        positions
+            .keys()
+            .take(MAX_CONCURRENT_REQUESTERS)
+            .any(|p| *p == self.position)
     }
 
     /// Waits until an engine may have free memory.
@@ -110,7 +79,6 @@
 
 impl Drop for Waiter<'_> {
     fn drop(&mut self) {
-        let mut queue = self.queue.queue.borrow_mut();
-        queue.remove(self.queue.clock.now(), self.id);
+        self.queue.positions.borrow_mut().remove(&self.position);
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -115,7 +115,7 @@
             state: RefCell::new(state),
             connection_pool: ConnectionPool::default(),
             relays: Relays::default(),
-            capacity_queue: CapacityQueue::new(clock),
+            capacity_queue: CapacityQueue::default(),
             event_log: EventLog::spawn(clock)?,
             memory: MemoryBudget::new(clock),
             metrics: Metrics::open()?,
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -122,8 +122,6 @@
     ForeignAnswer = 1524,
     /// Bodies or answers were refused or dropped, since the memory for them is used up.
     MemoryShort = 1525,
-    /// A generation was refused at once, since its turn is expected only after it stops waiting.
-    WaitTooLong = 1530,
     /// All servers of a service have just refused requests, and a request waits for the first of them.
     ServersFull = 1540,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
@@ -132,7 +130,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 62] = [
+    pub const ALL: [Self; 61] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -192,7 +190,6 @@
         Self::StreamsLoaded,
         Self::ForeignAnswer,
         Self::MemoryShort,
-        Self::WaitTooLong,
         Self::ServersFull,
         Self::LinesDropped,
     ];
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -10,7 +10,6 @@
 use http::{HeaderMap, Response, StatusCode};
 use jacinthlever_routing::{
     CallOutcome, CapacityPolicy, EngineRole, EngineSpec, OutputEstimates, PickParams, ServerKey,
-    WaitingGeneration,
 };
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -18,7 +17,6 @@
 
 use crate::answer::{AnswerBody, OUT_OF_REACH, Verdict};
 use crate::caller_request::CallerRequest;
-use crate::capacity_queue::Waiter;
 use crate::context::Context;
 use crate::evacuations::ALL_EVACUATED;
 use crate::exchange::{
@@ -39,12 +37,6 @@
 use crate::suspects::{self, BrokenRun};
 use crate::{EventCode, ServerHeaders};
 
-/// Reason for a refusal: no engine had room until the generation stopped waiting.
-const NO_ROOM: &str = "no engine has room";
-
-/// Reason for a refusal: the turn of the generation is expected only after it stops waiting.
-const WAIT_TOO_LONG: &str = "wait for an engine would be too long";
-
 /// Number of requests of a decode to its engine: the reservation, and the decode or the release.
 const RESERVED_DECODE_REQUESTS: u32 = 2;
 
@@ -552,99 +544,6 @@
         Verdict::unavailable(reason, self.policy().retry_after(left, self.cx.random()))
     }
 
-    /// Returns the verdict for a request that is given up for lack of capacity.
-    fn capacity_refusal(&self, reason: &'static str) -> Verdict {
-        if self.req.may_have_run.get() {
-            return Verdict::lost(reason);
-        }
-        let left = self.req.time_left(self.cx.now());
-        let queue = self.cx.capacity_queue.drain_time(&self.req.service);
-        let policy = self.policy();
-        let retry_after = policy.retry_after_queue(left, queue, self.cx.random());
-        Verdict::unavailable(reason, retry_after)
-    }
-
-    /// Returns the request as it waits for memory, for the queue.
-    fn waiting(&self) -> WaitingGeneration {
-        let (cx, req) = (&self.cx, &self.req);
-        let left = req.time_left(cx.now());
-        let is_late = self.is_late_retry();
-        let is_scheduling = cx.state.borrow().is_scheduling_active();
-        WaitingGeneration {
-            service: req.service.clone(),
-            customer: req.customer.clone().unwrap_or_default(),
-            weight: match is_scheduling {
-                true => req.config.capacity_weight(req.customer.as_deref()),
-                false => 1.0,
-            },
-            tokens: self.needed_tokens(),
-            priority: match self.is_repeated_search {
-                true => u8::MAX,
-                false => req.priority,
-            },
-            began: req.deadline.saturating_sub(req.route.timeout),
-            since: self.since,
-            until: match is_late {
-                true => self.policy().late_wait_deadline(self.since, left),
-                false => self.policy().wait_deadline(self.since, left),
-            },
-            is_late,
-            gives_way: self.may_be_refused_early(),
-        }
-    }
-
-    /// Whether the caller retries a request whose latency target has passed, so that it gives way to
-    /// others. A stream that has begun or may have begun does not.
-    fn is_late_retry(&self) -> bool {
-        let req = &self.req;
-        let stated = req.deadline.saturating_sub(req.arrived);
-        self.cx.state.borrow().is_scheduling_active()
-            && self.may_be_refused_early()
-            && self.policy().is_late_retry(req.route.timeout, stated)
-    }
-
-    /// Whether nothing has been held or run for the request, and no stream of it has begun.
-    fn may_be_refused_early(&self) -> bool {
-        let is_first_search = self.possible_runs == 0 && !self.is_repeated_search;
-        is_first_search && !self.is_taken_up() && !self.req.may_have_run.get()
-    }
-
-    /// Refuses the request if its turn is expected only after it stops waiting, before anything is
-    /// reserved for it. If an engine seems to have room, it is asked.
-    fn check_expected_wait(&self, waiter: &Waiter<'_>, until: Duration) -> Result<(), Verdict> {
-        let (cx, req) = (&self.cx, &self.req);
-        let Some(expected) = waiter.expected_wait() else {
-            return Ok(());
-        };
-        cx.metrics.record_expected_wait(&req.service, expected);
-        let is_first = self.may_be_refused_early() && self.steps.reserved.is_zero();
-        if !is_first || !waiter.is_turn_too_late() {
-            return Ok(());
-        }
-        if !self.decode_candidates(self.needed_tokens()).is_empty() {
-            return Ok(());
-        }
-        cx.metrics.count_early_refusal(&req.service, req.priority);
-        let ms = |time: Duration| time.as_millis() as u64;
-        cx.log(
-            EventCode::WaitTooLong,
-            [
-                ("request", req.headers.request_id.as_str().into()),
-                ("service", req.service.as_str().into()),
-                ("customer", req.customer_name().into()),
-                ("priority", req.priority.into()),
-                ("position", waiter.position().into()),
-                ("waiting_here", cx.capacity_queue.waiting().into()),
-                ("grants", cx.capacity_queue.grants(&req.service).into()),
-                ("expected_wait_ms", ms(expected).into()),
-                ("allowed_wait_ms", ms(until.saturating_sub(cx.now())).into()),
-                ("late", self.is_late_retry().into()),
-                ("cause", WAIT_TOO_LONG.into()),
-            ],
-        );
-        Err(self.capacity_refusal(WAIT_TOO_LONG))
-    }
-
     fn policy(&self) -> CapacityPolicy {
         CapacityPolicy {
             target_latency: self.req.route.target_latency,
@@ -670,16 +569,17 @@
     }
 
     async fn reserve(&mut self) -> Result<Reservation, Verdict> {
+        let left = self.req.time_left(self.cx.now());
+        let until = self.policy().wait_deadline(self.since, left);
         let cx = self.cx.clone();
         if self.has_only_other_versions() {
             return Err(self.refusal("no engine has the version that began the stream"));
         }
-        let is_scheduling = cx.state.borrow().is_scheduling_active();
-        cx.capacity_queue.set_scheduling(is_scheduling);
-        let generation = self.waiting();
-        let until = generation.until;
-        let waiter = cx.capacity_queue.enqueue(generation);
-        self.check_expected_wait(&waiter, until)?;
+        let priority = match self.is_repeated_search {
+            true => u8::MAX,
+            false => self.req.priority,
+        };
+        let waiter = cx.capacity_queue.enqueue(priority, until);
         loop {
             if self.is_unreachable() {
                 return Err(self.refusal(OUT_OF_REACH));
@@ -691,13 +591,8 @@
                 && self.can_prefill_in_time()
                 && let Some(reservation) = self.request_reservation().await
             {
-                waiter.record_grant();
                 return Ok(reservation);
             }
-            // A continued stream may wait for an engine of its version while others have room.
-            if self.may_be_refused_early() {
-                waiter.record_no_room();
-            }
             if self.version.is_none() && self.may_pass_on() {
                 return Err(self.refusal(OUT_OF_REACH));
             }
@@ -711,8 +606,8 @@
                 return Err(self.refusal(NO_SERVER_NOW));
             }
             if now >= until {
-                self.log_no_capacity(&waiter);
-                return Err(self.capacity_refusal(NO_ROOM));
+                self.log_no_capacity();
+                return Err(self.refusal("no engine has room"));
             }
             tokio::select! {
                 () = waiter.capacity_freed() => {}
@@ -733,14 +628,13 @@
     }
 
     /// Logs the reserved memory of the decode engines when a request is given up for lack of it.
-    fn log_no_capacity(&self, waiter: &Waiter<'_>) {
+    fn log_no_capacity(&self) {
         let now = self.cx.now();
         let state = self.cx.state.borrow();
         let engines = state.pool.available(&self.req.service);
         let decode = engines.filter(|(_, s)| s.entry.role == Some(EngineRole::Decode));
         let reserved: Vec<u64> = decode.map(|(_, s)| s.reserved_tokens(now)).collect();
         let least = reserved.iter().min().copied();
-        let expected = waiter.expected_wait().map(|wait| wait.as_millis() as u64);
         self.cx.log(
             EventCode::NoRoom,
             [
@@ -750,8 +644,6 @@
                 ("decode_engines", reserved.len().into()),
                 ("least_reserved_tokens", least.into()),
                 ("waiting_here", self.cx.capacity_queue.waiting().into()),
-                ("position", waiter.position().into()),
-                ("expected_wait_ms", expected.into()),
             ],
         );
     }
@@ -963,11 +855,12 @@
 
     /// Whether a prefill that ends at `prefilled` leaves too little time for the first event.
     fn is_too_late(&self, prefilled: Duration) -> bool {
-        let target = match self.is_late_retry() {
-            true => self.req.deadline.saturating_sub(self.since),
-            false => self.req.route.target_latency,
-        };
-        prefilled > self.since + target.mul_f64(PREFILL_DEADLINE_RATIO)
+        let usable = self
+            .req
+            .route
+            .target_latency
+            .mul_f64(PREFILL_DEADLINE_RATIO);
+        prefilled > self.since + usable
     }
 
     /// Whether the decode engine may prefill the prompt locally: it runs nothing else, or its other
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,8 +39,6 @@
     known_loads: Gauge<u64>,
     full_waits: Counter<u64>,
     discarded_rates: Counter<u64>,
-    early_refusals: Counter<u64>,
-    expected_wait: Histogram<f64>,
     held_bytes: Gauge<u64>,
     memory_refusals: Counter<u64>,
 }
@@ -70,10 +68,6 @@
             .f64_histogram("jacinthlever_store_answer_seconds")
             .with_boundaries(TIME_BOUNDS_S.to_vec())
             .build();
-        let expected_wait = meter
-            .f64_histogram("jacinthlever_expected_wait_seconds")
-            .with_boundaries(TIME_BOUNDS_S.to_vec())
-            .build();
         Ok(Self {
             requests: meter.u64_counter("jacinthlever_requests").build(),
             latency,
@@ -99,8 +93,6 @@
             known_loads: meter.u64_gauge("jacinthlever_known_loads").build(),
             full_waits: meter.u64_counter("jacinthlever_full_waits").build(),
             discarded_rates: meter.u64_counter("jacinthlever_discarded_rates").build(),
-            early_refusals: meter.u64_counter("jacinthlever_early_refusals").build(),
-            expected_wait,
             held_bytes: meter.u64_gauge("jacinthlever_held_bytes").build(),
             memory_refusals: meter.u64_counter("jacinthlever_memory_refusals").build(),
             registry,
@@ -197,21 +189,6 @@
         self.retries.add(1, &labels);
     }
 
-    /// Records how long a generation of a service is expected to wait for engine memory as it arrives.
-    pub fn record_expected_wait(&self, service: &str, wait: Duration) {
-        let labels = [KeyValue::new("service", service.to_string())];
-        self.expected_wait.record(wait.as_secs_f64(), &labels);
-    }
-
-    /// Counts a generation that is refused at once, since its turn is expected too late.
-    pub fn count_early_refusal(&self, service: &str, priority: u8) {
-        let labels = [
-            KeyValue::new("service", service.to_string()),
-            KeyValue::new("priority", i64::from(priority)),
-        ];
-        self.early_refusals.add(1, &labels);
-    }
-
     /// Records the number of services of which this instance reaches no server.
     pub fn record_lost_services(&self, count: usize) {
         self.lost_services.record(count as u64, &[]);
--- a/crates/routing/src/capacity_policy.rs
+++ b/crates/routing/src/capacity_policy.rs
@@ -11,10 +11,6 @@
 /// Maximum time after which a refused caller is asked to retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
-/// Time in addition to the latency target by which a caller states less than the route's timeout if it
-/// retries; it covers the transit and the caller's own delays.
-const RETRY_MARGIN: Duration = Duration::from_millis(200);
-
 /// Sets the deadlines of generations that wait for engine memory.
 #[derive(Clone, Copy, Debug)]
 pub struct CapacityPolicy {
@@ -41,32 +37,4 @@
         let max = (time_left / 3).min(MAX_RETRY_AFTER).max(MIN_RETRY_AFTER);
         MIN_RETRY_AFTER + (max - MIN_RETRY_AFTER).mul_f64(0.5 + 0.5 * draw)
     }
-
-    /// Returns the time after which a caller may retry that was refused while a queue is expected to
-    /// take `queue` until it is served; without an estimate as [`CapacityPolicy::retry_after`].
-    pub fn retry_after_queue(
-        &self,
-        time_left: Duration,
-        queue: Option<Duration>,
-        draw: f64,
-    ) -> Duration {
-        let Some(queue) = queue else {
-            return self.retry_after(time_left, draw);
-        };
-        let max = (time_left / 3).min(MAX_RETRY_AFTER);
-        let spread = queue.mul_f64(0.75 + 0.5 * draw);
-        spread.min(max).max(MIN_RETRY_AFTER)
-    }
-
-    /// Whether a caller that states `stated` for a route with the time-out `timeout` is retrying a
-    /// request whose latency target has passed. A first request with a short deadline counts as well.
-    pub fn is_late_retry(&self, timeout: Duration, stated: Duration) -> bool {
-        timeout.saturating_sub(stated) > self.target_latency + RETRY_MARGIN
-    }
-
-    /// Returns the time at which a late request that waits for an engine since `since` is refused: it
-    /// may wait for half of `time_left`.
-    pub fn late_wait_deadline(&self, since: Duration, time_left: Duration) -> Duration {
-        since + time_left / 2
-    }
 }
--- a/crates/routing/src/config.rs
+++ b/crates/routing/src/config.rs
@@ -197,20 +197,4 @@
     pub fn customer_by_key(&self, key: &str) -> Option<&Customer> {
         self.customers.get(self.keys.get(key)?)
     }
-
-    /// Returns the share of a customer in scarce capacity, relative to those of other customers: the
-    /// rate of its limit. Customers without a limit, and public routes, have the mean of the rates.
-    pub fn capacity_weight(&self, customer: Option<&str>) -> f64 {
-        let rate = |customer: &Customer| customer.quota.map(|q| q.rate).filter(|rate| *rate > 0.0);
-        let own = customer
-            .and_then(|name| self.customers.get(name))
-            .and_then(rate);
-        own.unwrap_or_else(|| {
-            let rates: Vec<f64> = self.customers.values().filter_map(rate).collect();
-            match rates.is_empty() {
-                true => 1.0,
-                false => rates.iter().sum::<f64>() / rates.len() as f64,
-            }
-        })
-    }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,13 +5,11 @@
 
 mod allowance_share;
 mod burst_pacer;
-mod capacity_estimate;
 mod capacity_policy;
 mod catch_up;
 mod coldness;
 mod config;
 mod customer_charges;
-mod customer_shares;
 mod evacuations;
 mod event_stream;
 mod forwarding;
@@ -41,12 +39,9 @@
 mod suspect_parts;
 mod suspect_requests;
 mod version_notes;
-mod waiting_generation;
-mod waiting_queue;
 
 pub use allowance_share::AllowanceShare;
 pub use burst_pacer::BurstPacer;
-pub use capacity_estimate::CapacityEstimate;
 pub use capacity_policy::CapacityPolicy;
 pub use catch_up::CatchUp;
 pub use coldness::{ColdChange, ColdSource, Coldness};
@@ -54,7 +49,6 @@
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
 };
 pub use customer_charges::CustomerCharges;
-pub use customer_shares::CustomerShares;
 pub use evacuations::{EvacuationStatement, Evacuations};
 pub use event_stream::{EventSplitter, StreamEvent, is_whole_stream};
 pub use forwarding::{Forwarding, ForwardingGroup};
@@ -87,5 +81,3 @@
 pub use suspect_parts::{Crash, CrashId, PartEvidence, QuarantinedParts, SuspectParts};
 pub use suspect_requests::{Fingerprint, SuspectRequests};
 pub use version_notes::{VersionNotes, Versions};
-pub use waiting_generation::WaitingGeneration;
-pub use waiting_queue::{WaiterId, WaitingQueue};
