Findings of a review of the merged parts

Releases of reservations and KV caches at cold servers take permits. The key is checked after the wait for a permit. A chunked body of 64 KiB stays within the reserved part of the memory budget. Heads of answers have 64 KiB. Changes of coldness are not looked for without a limit for cold servers. An instance that sends a relayed stream has its latency target more before it counts as silent.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -37,7 +37,7 @@
 
 /// Size of the buffer of a connection while memory is bounded, in bytes; hyper's own bound is 400 KiB.
 /// The head of an answer has to fit.
-const MAX_BUFFER_BYTES: usize = 16 * 1024;
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 struct IdleConnection {
     sender: SendRequest<RequestBody>,
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -81,8 +81,23 @@
     has_changed
 }
 
+/// Whether a complete read of the operator's table at `version` lacks evacuations that are in force.
+pub fn has_missing(cx: &Context, rows: &[Row], version: u64) -> bool {
+    !missing(cx, rows, version).is_empty()
+}
+
 /// Ends the evacuations that a complete read of the operator's table at `version` does not have.
 pub fn revoke_missing(cx: &Context, rows: &[Row], version: u64) {
+    for zone in missing(cx, rows, version) {
+        let statement = EvacuationStatement {
+            version,
+            is_active: false,
+        };
+        record(cx, &zone, statement, "store");
+    }
+}
+
+fn missing(cx: &Context, rows: &[Row], version: u64) -> Vec<SmolStr> {
     let kinds = rows
         .iter()
         .map(|row| (cx.adapter.store.config_row)(&row.key));
@@ -92,19 +107,8 @@
             ConfigRow::Config | ConfigRow::Unknown => None,
         })
         .collect();
-    let missing = cx
-        .state
-        .borrow()
-        .pool
-        .evacuations()
-        .missing(&present, version);
-    for zone in missing {
-        let statement = EvacuationStatement {
-            version,
-            is_active: false,
-        };
-        record(cx, &zone, statement, "store");
-    }
+    let state = cx.state.borrow();
+    state.pool.evacuations().missing(&present, version)
 }
 
 fn record(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -515,12 +515,12 @@
             Some(connection) => connection,
             None => Connection::open(cx, &target.address).await?,
         };
-        if caller_send.is_some_and(|c| !c.req.is_still_authorized(cx)) {
-            return Err(KEY_REVOKED);
-        }
         if caller_send.is_some_and(|c| !c.has_permit) {
             permits::acquire_if_cold(cx, server).await?;
         }
+        if caller_send.is_some_and(|c| !c.req.is_still_authorized(cx)) {
+            return Err(KEY_REVOKED);
+        }
         let request = call.request(&target.address)?;
         let ticket = caller_send.map(|c| &c.ticket);
         ticket.inspect(|ticket| ticket.record_use());
--- a/crates/gateway/src/reservation.rs
+++ b/crates/gateway/src/reservation.rs
@@ -11,6 +11,7 @@
 use crate::KvLocation;
 use crate::context::Context;
 use crate::exchange::Exchange;
+use crate::permits;
 
 /// Maximum number of concurrent local prefills on a decode engine.
 const MAX_LOCAL_PREFILLS: u32 = 1;
@@ -140,7 +141,10 @@
             let request = (self.cx.adapter.servers.release_reservation)(&id);
             let (cx, server) = (self.cx.clone(), self.server);
             tokio::task::spawn_local(async move {
-                // If the call fails, the reservation expires at the engine.
+                // Without the call, the reservation expires at the engine.
+                if permits::acquire_if_cold(&cx, server).await.is_err() {
+                    return;
+                }
                 let released = Exchange::call(&cx, server, request).await;
                 log::debug!(
                     "release of a reservation at an engine succeeded: {}",
@@ -188,7 +192,10 @@
         let request = (self.cx.adapter.servers.free_kv_cache)(&self.location.handle);
         let (cx, server) = (self.cx.clone(), self.server);
         tokio::task::spawn_local(async move {
-            // If the call fails, the handle expires at the engine.
+            // Without the call, the handle expires at the engine.
+            if permits::acquire_if_cold(&cx, server).await.is_err() {
+                return;
+            }
             let freed = Exchange::call(&cx, server, request).await;
             log::debug!(
                 "release of a KV cache at an engine succeeded: {}",
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -29,8 +29,9 @@
 /// Shortest time without an event after which an engine counts as unresponsive.
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Multiple of the time after which an engine without an event counts as unresponsive, after which another
-/// instance does. That one first waits for its engine as long, and then looks for another one.
+/// Multiple of the time after which an engine without an event counts as unresponsive. Another instance
+/// counts as such after that and the latency target: it first waits for its engine itself, and then looks
+/// for another one.
 const INSTANCE_TIMEOUT_FACTOR: f64 = 1.75;
 
 /// The instance to which the request was passed on sent no event for too long.
@@ -185,7 +186,8 @@
             let progress = generation.progress_of(server, patience, last_event, events);
             return progress.await;
         }
-        let patience = patience.mul_f64(INSTANCE_TIMEOUT_FACTOR);
+        let target = generation.req().route.target_latency;
+        let patience = patience.mul_f64(INSTANCE_TIMEOUT_FACTOR) + target;
         let may_give_up = can_resume && generation.may_replace_run() && patience < left;
         match timeout(if may_give_up { patience } else { left }, events).await {
             Ok(made) => Progress::of(made),
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -244,14 +244,20 @@
         self.record_recovery();
         remove_missing_servers(&self.cx, self.table, &rows);
         let era = store_version::era(rows.version);
+        let is_first_of_era = self.era != Some(era);
         let is_restored = self.era.replace(era).is_some_and(|last| last != era);
-        // The operator writes again what a restored store has lost, so only the next read counts then.
-        if self.table == Table::Config && !is_restored {
+        let has_missing = self.table == Table::Config
+            && evacuations::has_missing(&self.cx, &rows.rows, rows.version);
+        if has_missing && !is_first_of_era {
             evacuations::revoke_missing(&self.cx, &rows.rows, rows.version);
         }
         self.version = Some(rows.version);
-        if is_restored {
+        // The operator writes again what a restored store has lost. An instance that has just started does
+        // not know whether the store was restored, so a missing evacuation ends only at the next read.
+        if is_restored || (has_missing && is_first_of_era) {
             self.read_again_at = Some(start.at + RESTORED_READ_DELAY);
+        }
+        if is_restored {
             self.apply(start, &rows, apply_restored_server);
         } else {
             self.apply(start, &rows, apply_server);
--- a/crates/routing/src/memory_ledger.rs
+++ b/crates/routing/src/memory_ledger.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Size up to which what is held may use the reserved part of the capacity, in bytes: a body of 64 KiB, and
-/// 32 KiB for what its request needs besides.
-pub const SMALL_BYTES: usize = 96 * 1024;
+/// Size up to which what is held may use the reserved part of the capacity, in bytes: a body of 64 KiB, 32 KiB
+/// for what its request needs besides, and 16 KiB since a body of unknown length ends within a segment.
+pub const SMALL_BYTES: usize = 112 * 1024;
 
 /// Part of the capacity that is reserved for small holdings, so that ordinary requests are served while
 /// large bodies use up the rest.
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -185,6 +185,9 @@
             cold_rates,
             ..
         } = self;
+        if cold_rates.is_empty() {
+            return Vec::new();
+        }
         let servers = servers.values_mut();
         let limited = servers.filter(|s| cold_rates.contains_key(&s.entry.service));
         let changes = limited.filter_map(|s| {
