--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -107,4 +107,6 @@
     RevokeKey,
     /// The operator writes a new version of the configuration that keeps routes, services and keys.
     Reconfigure,
+    /// The operator evacuates a zone, and revokes the evacuation at the end of the fault.
+    Evacuate,
 }
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -38,6 +38,9 @@
 /// Minimum duration of a cut of instances from all servers.
 const MIN_CUT_DURATION: Duration = Duration::from_millis(3000);
 
+/// Duration of an evacuation: longer than the time until it must be obeyed.
+const EVACUATION_MS: std::ops::Range<u64> = 6000..9000;
+
 /// Forms of a cut of instances from all servers.
 const CUT_FORMS: [Impairment; 5] = [
     Impairment::Stall,
@@ -103,9 +106,16 @@
         faults.extend(reconfigurations(seed, length));
         faults.extend(server_cuts(seed, length, fleet));
         faults.extend(storms(seed, length, fleet));
+        faults.extend(evacuations(seed, length));
         faults.sort_by_key(|planned| planned.at);
         Self { faults }
     }
+
+    /// Whether the operator evacuates a zone in runs with this seed. Half of these runs have a restore of
+    /// the store.
+    pub fn has_evacuations(seed: u64) -> bool {
+        seed % 4 >= 2
+    }
 }
 
 /// Returns, for every second seed, a restore of the store from a copy.
@@ -329,6 +339,26 @@
     faults
 }
 
+/// Returns, for every other pair of seeds, evacuations of a zone, one after the other.
+///
+/// They have a generator of their own, so that the other faults of a seed stay the same.
+fn evacuations(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8));
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(100..1500));
+    let shortest = Duration::from_millis(EVACUATION_MS.start);
+    while FaultPlan::has_evacuations(seed) && at + shortest <= length {
+        let duration = Duration::from_millis(rng.random_range(EVACUATION_MS)).min(length - at);
+        faults.push(PlannedFault {
+            at,
+            duration,
+            fault: Fault::Evacuate,
+        });
+        at += duration + Duration::from_millis(rng.random_range(100..1500));
+    }
+    faults
+}
+
 fn random_fault(rng: &mut ChaCha8Rng, fleet: FleetSize) -> Fault {
     let instance = rng.random_range(0..fleet.instances);
     let server = rng.random_range(0..fleet.servers);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! programs and implements their wire formats.
 
 mod cut_off;
+mod evacuation;
 mod fault;
 mod fault_plan;
 mod ledger;
@@ -16,6 +17,7 @@
 mod server_cut;
 
 pub use cut_off::{CutOff, InjectedFault};
+pub use evacuation::{CountedArrivals, Evacuation, ZoneArrival};
 pub use fault::{Fault, LinkFault, ServerFault, StoreFault};
 pub use fault_plan::{FaultPlan, FleetSize, PlannedFault};
 pub use ledger::{CallerOutcome, Ledger, Limit, Run, SentRequest};
--- a/crates/soak/tests/fault_plan.rs
+++ b/crates/soak/tests/fault_plan.rs
@@ -34,7 +34,8 @@
             kinds.insert(name.split([' ', '(', '{']).next().unwrap_or("").to_string());
         }
     }
-    let expected = "Kill KillAll Link Pause Reconfigure Reload RevokeKey Server Stop Store";
+    let expected =
+        "Evacuate Kill KillAll Link Pause Reconfigure Reload RevokeKey Server Stop Store";
     assert_eq!(kinds.into_iter().collect::<Vec<_>>().join(" "), expected);
 }
 
