--- a/crates/soak/src/evacuation.rs
+++ b/crates/soak/src/evacuation.rs
@@ -3,10 +3,10 @@
 use std::fmt;
 use std::time::Duration;
 
-use crate::{Fault, InjectedFault, LinkFault};
+use crate::{Fault, InjectedFault, LinkFault, StoreFault};
 
-/// Time after the store accepted an evacuation from which it must be obeyed, and time for which a fault
-/// must have ended before an instance counts as in touch.
+/// Time in touch since the store accepted an evacuation from which an instance must obey it, and time after
+/// a fault for which requests may be late.
 const NOTICE: Duration = Duration::from_secs(5);
 
 /// A request that a server received.
@@ -32,13 +32,13 @@
 }
 
 impl Evacuation {
-    /// Returns the arrivals that count: those at which the evacuation must be obeyed, and that no fault
-    /// may have delayed.
+    /// Returns the arrivals that count: those from instances that must know of the evacuation, unless a
+    /// fault may have delayed them.
     pub fn counted(&self, arrivals: &[ZoneArrival], faults: &[InjectedFault]) -> CountedArrivals {
-        let period = self.from.saturating_add(NOTICE)..self.until;
         let mut counted = CountedArrivals::default();
         for arrival in arrivals {
-            if period.contains(&arrival.at) && !is_disturbed(arrival, faults) {
+            let must_know = arrival.at < self.until && self.is_known(arrival, faults);
+            if must_know && !may_be_late(arrival, faults) {
                 counted.all += 1;
                 counted.evacuated += usize::from(arrival.is_evacuated);
             }
@@ -46,6 +46,26 @@
         counted
     }
 
+    /// Whether the instance of an arrival was in touch for long enough since the acceptance, and has lost
+    /// nothing since. What it knows stays in force while it is out of touch.
+    fn is_known(&self, arrival: &ZoneArrival, faults: &[InjectedFault]) -> bool {
+        let of = arrival.instance;
+        let overlaps = |injected: &InjectedFault, from: Duration, until: Duration| {
+            injected.from <= until && from < injected.until
+        };
+        let ends = faults.iter().map(|injected| injected.until);
+        let mut starts = ends.filter(|at| *at > self.from).chain([self.from]);
+        starts.any(|start| {
+            let known = start.saturating_add(NOTICE);
+            let prevents = |injected: &InjectedFault| {
+                let fault = injected.fault;
+                is_out_of_touch(fault, of) && overlaps(injected, start, known)
+                    || is_forgetting(fault, of) && overlaps(injected, known, arrival.at)
+            };
+            known <= arrival.at && !faults.iter().any(prevents)
+        })
+    }
+
     /// Returns a description of the evacuation if a request that counts reached a server of the zone.
     pub fn violation(&self, arrivals: &[ZoneArrival], faults: &[InjectedFault]) -> Option<String> {
         let counted = self.counted(arrivals, faults);
@@ -72,16 +92,11 @@
     }
 }
 
-/// Whether the instance was killed, stopped, paused or cut, the store was at fault, or the link of the
-/// server may have held the request, shortly before an arrival.
-fn is_disturbed(arrival: &ZoneArrival, faults: &[InjectedFault]) -> bool {
+/// Whether a fault may have delayed an arrival: its instance was paused, or a link may have held it.
+fn may_be_late(arrival: &ZoneArrival, faults: &[InjectedFault]) -> bool {
     faults.iter().any(|injected| {
         let concerns = match injected.fault {
-            Fault::KillAll | Fault::Store(_) => true,
-            Fault::Kill { instance }
-            | Fault::Stop { instance }
-            | Fault::Pause { instance }
-            | Fault::Link(LinkFault::Store { instance } | LinkFault::Servers { instance }, _) => {
+            Fault::Pause { instance } | Fault::Link(LinkFault::Servers { instance }, _) => {
                 instance == arrival.instance
             }
             Fault::Link(LinkFault::Server { server }, _) => server == arrival.server,
@@ -92,3 +107,21 @@
             && arrival.at <= injected.until.saturating_add(NOTICE)
     })
 }
+
+/// Whether a fault makes an instance lose what it knows: a restart, or a store without the row.
+fn is_forgetting(fault: Fault, of: usize) -> bool {
+    match fault {
+        Fault::KillAll | Fault::Store(StoreFault::Restore) => true,
+        Fault::Kill { instance } | Fault::Stop { instance } => instance == of,
+        _ => false,
+    }
+}
+
+/// Whether an instance learns nothing, or not in time, during a fault.
+fn is_out_of_touch(fault: Fault, of: usize) -> bool {
+    match fault {
+        Fault::Store(_) => true,
+        Fault::Pause { instance } | Fault::Link(LinkFault::Store { instance }, _) => instance == of,
+        _ => is_forgetting(fault, of),
+    }
+}
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -39,7 +39,7 @@
 const MIN_CUT_DURATION: Duration = Duration::from_millis(3000);
 
 /// Duration of an evacuation: longer than the time until it must be obeyed.
-const EVACUATION_MS: std::ops::Range<u64> = 6000..9000;
+const EVACUATION_MS: std::ops::Range<u64> = 7500..9500;
 
 /// Forms of a cut of instances from all servers.
 const CUT_FORMS: [Impairment; 5] = [
@@ -345,7 +345,7 @@
 fn evacuations(seed: u64, length: Duration) -> Vec<PlannedFault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8));
     let mut faults = Vec::new();
-    let mut at = Duration::from_millis(rng.random_range(100..1500));
+    let mut at = Duration::from_millis(rng.random_range(100..800));
     let shortest = Duration::from_millis(EVACUATION_MS.start);
     while FaultPlan::has_evacuations(seed) && at + shortest <= length {
         let duration = Duration::from_millis(rng.random_range(EVACUATION_MS)).min(length - at);
--- a/crates/soak/tests/evacuation.rs
+++ b/crates/soak/tests/evacuation.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use jacinthlever_soak::{Evacuation, Fault, Impairment, InjectedFault, LinkFault, ZoneArrival};
+use jacinthlever_soak::{
+    Evacuation, Fault, Impairment, InjectedFault, LinkFault, StoreFault, ZoneArrival,
+};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -51,7 +53,7 @@
         store(1),
         link(2),
     ] {
-        assert!(!is_reported(17_000, Some(fault)), "{fault:?}");
+        assert!(!is_reported(16_999, Some(fault)), "{fault:?}");
         assert!(is_reported(17_001, Some(fault)), "{fault:?}");
     }
     for fault in [
@@ -63,3 +65,30 @@
         assert!(is_reported(16_000, Some(fault)), "{fault:?}");
     }
 }
+
+/// Guards against a check that excuses an instance that loses touch after it has learned of an evacuation.
+#[test]
+fn what_is_known_stays_in_force() {
+    let evacuation = Evacuation {
+        from: ms(5000),
+        until: ms(20_000),
+    };
+    let arrival = ZoneArrival {
+        instance: 1,
+        server: 2,
+        is_evacuated: true,
+        at: ms(13_000),
+    };
+    let is_reported = |fault| {
+        let injected = InjectedFault {
+            from: ms(11_000),
+            ending: ms(12_000),
+            until: ms(12_000),
+            ..InjectedFault::new(fault)
+        };
+        evacuation.violation(&[arrival], &[injected]).is_some()
+    };
+    assert!(is_reported(Fault::Store(StoreFault::Unresponsive)));
+    assert!(!is_reported(Fault::Store(StoreFault::Restore)));
+    assert!(!is_reported(Fault::Kill { instance: 1 }));
+}
