--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -90,16 +90,16 @@
                 continue;
             }
         };
-        let mut is_crowded = false;
+        let mut saves_memory = false;
         if let Some(mb) = cx.settings().max_memory_mb {
             let share = sender.descriptor_share() / (CALLER_SHARE + RELAY_SHARE);
             let buffers = SocketBuffers::new(mb.saturating_mul(BYTES_PER_MB), share, max_open);
-            is_crowded = buffers.apply(&stream, open.get());
+            saves_memory = buffers.apply(&stream, open.get());
         }
         open.set(open.get() + 1);
         let (cx, open) = (cx.clone(), open.clone());
         tokio::task::spawn_local(async move {
-            serve_connection(cx, stream, sender, is_crowded).await;
+            serve_connection(cx, stream, sender, saves_memory).await;
             open.set(open.get() - 1);
         });
     }
@@ -158,15 +158,15 @@
     }
 }
 
-/// Serves a connection; it holds less memory if it is one of a crowd.
-async fn serve_connection(cx: Rc<Context>, stream: TcpStream, sender: Sender, is_crowded: bool) {
+/// Serves a connection; with `saves_memory` it reads into small buffers.
+async fn serve_connection(cx: Rc<Context>, stream: TcpStream, sender: Sender, saves_memory: bool) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY not set on a caller's connection: {error}");
     }
     let monitor = ActivityMonitor::start();
     let limits = connection_limits(&cx, sender);
     let mut stream = MonitoredStream::new(stream, monitor.clone());
-    if is_crowded {
+    if saves_memory {
         stream.limit_reads();
     }
     let io = TokioIo::new(stream);
@@ -175,7 +175,7 @@
         service_fn(move |req| {
             monitor.request_started();
             let (cx, monitor) = (cx.clone(), monitor.clone());
-            // Boxed, since a connection has room for this future also while it is idle.
+            // Boxed: an idle connection would otherwise reserve memory for this future.
             Box::pin(async move {
                 let response = respond(&cx, req, sender).await;
                 monitor.hold_answer(response.body().lease());
@@ -323,7 +323,7 @@
         Sender::Instance => Some(RelayTerms::of(req.headers())),
     };
     let result = match admit(cx, req, headers, relayed, &mut summary).await {
-        // Boxed, so that a request whose body is being received does not have room for it.
+        // Boxed: a request whose body is being received would otherwise reserve memory for it.
         Ok(req) => Box::pin(answer(cx, Rc::new(req))).await,
         Err(verdict) => Err(verdict),
     };
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    /// Reads little at a time from now on, so that the buffer into which it is read stays small.
+    /// Reads small pieces from now on, so that hyper does not grow its read buffer.
     pub fn limit_reads(&mut self) {
         self.has_small_reads = true;
     }
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -1,7 +1,7 @@
 //! Evacuations of availability zones; see `docs/design/evacuation-and-capacity.md`.
 //!
-//! The operator's table names them. Instances tell each other all that they know, so one that has lost the
-//! store learns of an evacuation too.
+//! The operator's table names them. Every instance sends all that it knows to its peers, so one that has lost
+//! the store learns of an evacuation too.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -27,7 +27,7 @@
 /// The zone of the server has been evacuated since it was picked.
 pub const EVACUATED: SendError = SendError::Unsent("zone of the server is evacuated");
 
-/// What is known of the evacuation of a zone, as instances tell each other.
+/// What is known of the evacuation of a zone, in messages between instances.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct SharedEvacuation {
     zone: SmolStr,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -425,7 +425,7 @@
 /// The caller's key was revoked, or may have been, between the request's arrival and the send.
 pub const KEY_REVOKED: SendError = SendError::Unsent("key is no longer accepted");
 
-/// Whether this instance has not sent a request at the last moment, which tells nothing of the server.
+/// Whether this instance itself decided not to send a request, which says nothing about the server.
 fn is_withheld(error: SendError) -> bool {
     [KEY_REVOKED, AT_LIMIT, NO_PERMIT].contains(&error)
 }
--- a/crates/gateway/src/held_body.rs
+++ b/crates/gateway/src/held_body.rs
@@ -45,7 +45,7 @@
 }
 
 impl HeldBody {
-    /// Reads a body of up to `max` bytes; `usage` tells what is read, and whether it may be shed meanwhile.
+    /// Reads a body of up to `max` bytes; `usage` says what is read, and so whether it may be shed meanwhile.
     ///
     /// # Errors
     /// Fails if the body is too long, breaks off or is shed. One whose announced length is too long is not
--- a/crates/gateway/src/shared_loads.rs
+++ b/crates/gateway/src/shared_loads.rs
@@ -17,7 +17,7 @@
 /// Largest slowdown that is sent, in percent.
 const MAX_SLOWDOWN_PERCENT: f64 = 65_535.0;
 
-/// Load of a server, as instances tell each other, without names of fields, since a message has several:
+/// Load of a server in messages between instances, without names of fields, since a message has several:
 /// the server, the number of running and waiting requests, the time since the statement in milliseconds,
 /// and the time that work takes on the server in percent of the usual time, if it is stated.
 #[derive(Clone, Debug, Deserialize, Serialize)]
--- a/crates/gateway/src/table_sync.rs
+++ b/crates/gateway/src/table_sync.rs
@@ -105,7 +105,7 @@
             let result = self.watch(after, wait, part).await;
             let is_unchanged = matches!(result, Ok(false));
             self.pause_after(result).await;
-            // Whatever the call was made for may hold still, and the store has just answered it.
+            // The reason for the call may still hold: without a pause, the store would be called again at once.
             if wait.is_zero() && is_unchanged {
                 sleep(CHECK_INTERVAL).await;
             }
