Log refusals of servers with the connection on which they came

The hypotheses of the incident cannot be told apart by the log: it does not say on which connection a request was sent, so two refusals of one request look alike whether the second is a copy or not. JL1541 (ServerRefused) names the connection and the number of calls on it; an idle connection keeps both. No decision changes.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -40,16 +40,24 @@
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 struct IdleConnection {
-    sender: SendRequest<RequestBody>,
+    connection: Connection,
     usable_until: Duration,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Duration) -> bool {
+        now < self.usable_until && !self.connection.sender.is_closed()
+    }
+}
+
 /// A connection that is checked out for one request.
 pub struct Connection {
     /// Handle that sends a request on the connection.
-    pub sender: SendRequest<RequestBody>,
-    /// Whether the connection has carried a request before.
-    pub is_reused: bool,
+    sender: SendRequest<RequestBody>,
+    /// Number of the connection in this process, for the log.
+    pub number: u64,
+    /// Number of calls that were sent on the connection.
+    pub calls: u64,
 }
 
 impl Connection {
@@ -61,12 +69,20 @@
         let max_buffer = cx.memory.is_active().then_some(MAX_BUFFER_BYTES);
         let sender = connect(address, max_buffer).await;
         let sender = sender.map_err(|_| NO_CONNECTION)?;
+        let number = cx.connections_opened.get() + 1;
+        cx.connections_opened.set(number);
         Ok(Self {
             sender,
-            is_reused: false,
+            number,
+            calls: 0,
         })
     }
 
+    /// Whether the connection has carried a call before the present one.
+    pub fn is_reused(&self) -> bool {
+        self.calls > 1
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -75,6 +91,7 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.calls += 1;
         let sent = self.sender.try_send_request(request).await;
         // A message that is returned with the error has not been written to the connection.
         sent.map_err(|mut error| match error.take_message() {
@@ -102,15 +119,12 @@
     pub fn reuse(&self, now: Duration, server: &K) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(server)?;
-        while let Some(connection) = connections.pop() {
-            let usable = now < connection.usable_until && connection.sender.is_ready();
-            if usable && !connection.sender.is_closed() {
-                return Some(Connection {
-                    sender: connection.sender,
-                    is_reused: true,
-                });
+        while let Some(idle) = connections.pop() {
+            let sender = &idle.connection.sender;
+            if now < idle.usable_until && sender.is_ready() && !sender.is_closed() {
+                return Some(idle.connection);
             }
-            connections.retain(|c| now < c.usable_until && !c.sender.is_closed());
+            connections.retain(|c| c.is_usable(now));
         }
         None
     }
@@ -122,18 +136,18 @@
         now: Duration,
         server: K,
         max_idle: usize,
-        sender: SendRequest<RequestBody>,
+        connection: Connection,
         idle_timeout: Option<Duration>,
     ) {
         let lifetime = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |t| t.saturating_sub(IDLE_MARGIN));
-        if lifetime.is_zero() || sender.is_closed() {
+        if lifetime.is_zero() || connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(server).or_default();
         if connections.len() < max_idle.min(MAX_IDLE) {
             connections.push(IdleConnection {
-                sender,
+                connection,
                 usable_until: now + lifetime,
             });
         }
@@ -148,7 +162,7 @@
     pub fn evict_expired(&self, now: Duration) {
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
-            connections.retain(|c| now < c.usable_until && !c.sender.is_closed());
+            connections.retain(|c| c.is_usable(now));
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -38,6 +38,8 @@
     pub state: RefCell<State>,
     /// Idle connections to backend servers.
     pub connection_pool: ConnectionPool<ServerKey>,
+    /// Number of connections opened to backend servers and other instances.
+    pub connections_opened: Cell<u64>,
     /// Other instances to which requests are relayed.
     pub relays: Relays,
     /// Generations that wait for engine memory.
@@ -114,6 +116,7 @@
             clock,
             state: RefCell::new(state),
             connection_pool: ConnectionPool::default(),
+            connections_opened: Cell::new(0),
             relays: Relays::default(),
             capacity_queue: CapacityQueue::default(),
             event_log: EventLog::spawn(clock)?,
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -124,13 +124,15 @@
     MemoryShort = 1525,
     /// All servers of a service have just refused requests, and a request waits for the first of them.
     ServersFull = 1540,
+    /// A backend server refused a request or a control call; the fields show the connection.
+    ServerRefused = 1541,
     /// Log lines were dropped because the rate limit or the queue of the log was exceeded.
     LinesDropped = 1601,
 }
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 61] = [
+    pub const ALL: [Self; 62] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -191,6 +193,7 @@
         Self::ForeignAnswer,
         Self::MemoryShort,
         Self::ServersFull,
+        Self::ServerRefused,
         Self::LinesDropped,
     ];
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,6 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use jacinthlever_routing::{CallOutcome, HoldingUse, ServerKey};
 use smol_str::SmolStr;
 use tokio::time::error::Elapsed;
@@ -117,7 +116,10 @@
     /// Time by which an answer that is read as a whole must be complete.
     deadline: Duration,
     body: Incoming,
-    sender: Option<SendRequest<RequestBody>>,
+    /// Connection on which the answer comes; `None` once it was returned to the pool.
+    connection: Option<Connection>,
+    /// Whether the connection may be reused after the answer.
+    is_reusable: bool,
     idle_timeout: Option<Duration>,
     in_flight: InFlight,
     /// Identifier of the caller's request; `None` for a control call.
@@ -227,7 +229,7 @@
         let sending = send_request(cx, server, target, &call, caller_send);
         let result = Self::await_head(cx, server, sending, within, caller_send).await;
         let took = cx.now().saturating_sub(started);
-        let (response, sender) = match result {
+        let (response, connection) = match result {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
                 let outcome = match error {
@@ -255,7 +257,8 @@
             server,
             deadline: started + within,
             body,
-            sender: (call.body.len() < LARGE_BODY_BYTES).then_some(sender),
+            connection: Some(connection),
+            is_reusable: call.body.len() < LARGE_BODY_BYTES,
             in_flight,
             request_id: caller_send.map(|c| c.req.headers.request_id.clone()),
             ticket: None,
@@ -321,6 +324,7 @@
             departures::record(cx, server);
         }
         if head.is_not_run {
+            self.log_refusal(cx);
             cx.record_outcome(server, CallOutcome::NoCapacity);
             // The body is read so that the connection can be reused.
             self.deadline = self.deadline.min(now + REFUSAL_BODY_TIMEOUT);
@@ -347,6 +351,20 @@
         Ok(self)
     }
 
+    /// Logs that the server refused a request or a control call, and on which connection.
+    fn log_refusal(&self, cx: &Context) {
+        let connection = self.connection.as_ref();
+        let id = cx.state.borrow().pool.id_of(self.server);
+        let fields = [
+            ("request", self.request_id.as_deref().into()),
+            ("server", id.as_str().into()),
+            ("status", self.status.as_u16().into()),
+            ("connection", connection.map(|c| c.number).into()),
+            ("calls", connection.map(|c| c.calls).into()),
+        ];
+        cx.log(EventCode::ServerRefused, fields);
+    }
+
     /// Takes the ticket that was used for the send; `None` for a control call.
     pub fn take_ticket(&mut self) -> Option<SendTicket> {
         self.ticket.take()
@@ -393,12 +411,12 @@
     }
 
     fn keep_connection(&mut self) {
-        if let Some(sender) = self.sender.take() {
+        if let Some(connection) = self.connection.take().filter(|_| self.is_reusable) {
             let cx = &self.in_flight.cx;
             let now = cx.now();
             let max_idle = cx.state.borrow().max_idle_connections(now, self.server);
             cx.connection_pool
-                .put_back(now, self.server, max_idle, sender, self.idle_timeout);
+                .put_back(now, self.server, max_idle, connection, self.idle_timeout);
         }
     }
 }
@@ -500,7 +518,7 @@
     }
 }
 
-type ResponseAndSender = (http::Response<Incoming>, SendRequest<RequestBody>);
+type ResponseAndConnection = (http::Response<Incoming>, Connection);
 
 async fn send_request(
     cx: &Rc<Context>,
@@ -508,7 +526,7 @@
     target: &Target,
     call: &Outgoing,
     caller_send: Option<&CallerSend<'_>>,
-) -> Result<ResponseAndSender, SendError> {
+) -> Result<ResponseAndConnection, SendError> {
     loop {
         let idle = cx.connection_pool.reuse(cx.now(), &server);
         let mut connection = match idle {
@@ -528,11 +546,11 @@
         if matches!(sent, Err(SendError::Unsent(_))) {
             ticket.inspect(|ticket| ticket.undo_use());
             // The server may have closed the connection while it was idle.
-            if connection.is_reused {
+            if connection.is_reused() {
                 continue;
             }
         }
-        return sent.map(|response| (response, connection.sender));
+        return sent.map(|response| (response, connection));
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -311,7 +311,7 @@
         *request.headers_mut() = headers;
         match connection.send(request).await {
             // The instance may have closed it while it was idle.
-            Err(SendError::Unsent(_)) if connection.is_reused => {}
+            Err(SendError::Unsent(_)) if connection.is_reused() => {}
             sent => return sent.map(|response| (response, connection)),
         }
     }
@@ -379,7 +379,7 @@
             cx.now(),
             address,
             MAX_IDLE,
-            connection.sender,
+            connection,
             self.idle_timeout,
         );
     }
