--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -375,13 +375,9 @@
             return;
         };
         let (cx, address) = (&self.cx, self.address.clone());
-        cx.relays.pool.put_back(
-            cx.now(),
-            address,
-            MAX_IDLE,
-            connection,
-            self.idle_timeout,
-        );
+        cx.relays
+            .pool
+            .put_back(cx.now(), address, MAX_IDLE, connection, self.idle_timeout);
     }
 }
 
