A connection carries each request identifier once on a connection, so a copy of its refusal is told apart

Callers saw 503 for requests that ran (REFUSED), and requests that ran at two servers (TWICE).

Cause: an answer was attributed by its identifier alone. A server refuses request A and writes the refusal again, late. While all servers are full, a plain request waits and is sent again to a server that refused it; the pool returned the connection used last, which is the one with the copy still to come. The copy bears A's identifier, so it passed attribution::check. A caller who comes back under the same identifier, and a prompt that is sent again to a prefill engine, met the same.

Change: ConnectionHistory (routing) keeps the identifiers that a connection has carried and decides whether the answer to a call could be told from copies of all earlier answers; ConnectionPool::reuse, the only place that gives out a used connection to servers and to other instances, asks it. A copy can then only arrive under another name, which the check refuses, or while the connection is idle, which closes it.

Weighed: a new connection for each request (connections are priced, servers take few); closing a connection after each refusal (full servers refuse most); remembering connections in the request (a caller who comes back is a new one).

--- a/crates/gateway/src/attribution.rs
+++ b/crates/gateway/src/attribution.rs
@@ -1,7 +1,8 @@
 //! Decides which request an answer belongs to.
 //!
 //! A server may send an answer twice. The second copy arrives where the answer to the next request on
-//! the connection is expected, and the real one arrives after it; see `docs/design/answers.md`.
+//! the connection is expected, and the real one arrives after it. An answer is attributed by what it names,
+//! which no earlier call on its connection has had answered; see `docs/design/answers.md`.
 
 use http::StatusCode;
 use jacinthlever_routing::ServerKey;
@@ -15,7 +16,8 @@
 pub const FOREIGN_ANSWER: SendError = SendError::Lost("answer of another request");
 
 /// Checks that an answer names the request for which it was received, or none if that one has no
-/// identifier, as control calls. Nothing else in an answer may be used before this check, and a
+/// identifier, as control calls. A copy of an earlier answer cannot name the same, since the connection has
+/// carried no other call with that name ([`jacinthlever_routing::ConnectionHistory`]). Nothing else in an answer may be used before this check, and a
 /// connection with the answer of another request may not be used again.
 ///
 /// # Errors
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use jacinthlever_routing::{CallIdentity, ConnectionHistory};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -56,8 +57,7 @@
     sender: SendRequest<RequestBody>,
     /// Number of the connection in this process, for the log.
     pub number: u64,
-    /// Number of calls that were sent on the connection.
-    pub calls: u64,
+    history: ConnectionHistory,
 }
 
 impl Connection {
@@ -74,24 +74,30 @@
         Ok(Self {
             sender,
             number,
-            calls: 0,
+            history: ConnectionHistory::default(),
         })
     }
 
+    /// Returns the number of calls that were sent on the connection.
+    pub fn calls(&self) -> usize {
+        self.history.calls()
+    }
+
     /// Whether the connection has carried a call before the present one.
     pub fn is_reused(&self) -> bool {
-        self.calls > 1
+        self.calls() > 1
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request, whose answer names `call`, and waits for the head of the answer.
     ///
     /// # Errors
     /// Returns an error that says whether the request may have been written to the connection.
     pub async fn send(
         &mut self,
         request: Request<RequestBody>,
+        call: CallIdentity<'_>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.calls += 1;
+        self.history.record(call);
         let sent = self.sender.try_send_request(request).await;
         // A message that is returned with the error has not been written to the connection.
         sent.map_err(|mut error| match error.take_message() {
@@ -115,18 +121,16 @@
 }
 
 impl<K: Ord> ConnectionPool<K> {
-    /// Takes the most recently used idle connection to a server; `None` if none is usable.
-    pub fn reuse(&self, now: Duration, server: &K) -> Option<Connection> {
+    /// Takes the most recently used idle connection to a server on which the answer to `call` can be
+    /// attributed; `None` if there is none.
+    pub fn reuse(&self, now: Duration, server: &K, call: CallIdentity<'_>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(server)?;
-        while let Some(idle) = connections.pop() {
-            let sender = &idle.connection.sender;
-            if now < idle.usable_until && sender.is_ready() && !sender.is_closed() {
-                return Some(idle.connection);
-            }
-            connections.retain(|c| c.is_usable(now));
-        }
-        None
+        connections.retain(|c| c.is_usable(now));
+        let index = connections.iter().rposition(|c| {
+            c.connection.sender.is_ready() && c.connection.history.may_carry(call)
+        })?;
+        Some(connections.remove(index).connection)
     }
 
     /// Returns a connection to the pool after its answer is complete, unless the server already has
@@ -140,7 +144,7 @@
         idle_timeout: Option<Duration>,
     ) {
         let lifetime = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |t| t.saturating_sub(IDLE_MARGIN));
-        if lifetime.is_zero() || connection.sender.is_closed() {
+        if lifetime.is_zero() || connection.sender.is_closed() || connection.history.is_full() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jacinthlever_routing::{CallOutcome, HoldingUse, ServerKey};
+use jacinthlever_routing::{CallIdentity, CallOutcome, HoldingUse, ServerKey};
 use smol_str::SmolStr;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
@@ -360,7 +360,7 @@
             ("server", id.as_str().into()),
             ("status", self.status.as_u16().into()),
             ("connection", connection.map(|c| c.number).into()),
-            ("calls", connection.map(|c| c.calls).into()),
+            ("calls", connection.map(Connection::calls).into()),
         ];
         cx.log(EventCode::ServerRefused, fields);
     }
@@ -527,8 +527,11 @@
     call: &Outgoing,
     caller_send: Option<&CallerSend<'_>>,
 ) -> Result<ResponseAndConnection, SendError> {
+    let identity = caller_send.map_or(CallIdentity::Nameless, |c| {
+        CallIdentity::Request(&c.req.headers.request_id)
+    });
     loop {
-        let idle = cx.connection_pool.reuse(cx.now(), &server);
+        let idle = cx.connection_pool.reuse(cx.now(), &server, identity);
         let mut connection = match idle {
             Some(connection) => connection,
             None => Connection::open(cx, &target.address).await?,
@@ -542,7 +545,7 @@
         let request = call.request(&target.address)?;
         let ticket = caller_send.map(|c| &c.ticket);
         ticket.inspect(|ticket| ticket.record_use());
-        let sent = connection.send(request).await;
+        let sent = connection.send(request, identity).await;
         if matches!(sent, Err(SendError::Unsent(_))) {
             ticket.inspect(|ticket| ticket.undo_use());
             // The server may have closed the connection while it was idle.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jacinthlever_routing::{HoldingUse, RouteKind};
+use jacinthlever_routing::{CallIdentity, HoldingUse, RouteKind};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -290,8 +290,9 @@
     attempts: u32,
     last_event: Option<u64>,
 ) -> Result<(Response<Incoming>, Connection), SendError> {
+    let call = CallIdentity::Request(&req.headers.request_id);
     loop {
-        let idle = cx.relays.pool.reuse(cx.now(), address);
+        let idle = cx.relays.pool.reuse(cx.now(), address, call);
         let mut connection = match idle {
             Some(connection) => connection,
             None => Connection::open(cx, address).await?,
@@ -309,7 +310,7 @@
         headers.insert(ATTEMPTS_HEADER, HeaderValue::from(attempts));
         headers.insert(CONFIG_HEADER, HeaderValue::from(req.config.version));
         *request.headers_mut() = headers;
-        match connection.send(request).await {
+        match connection.send(request, call).await {
             // The instance may have closed it while it was idle.
             Err(SendError::Unsent(_)) if connection.is_reused() => {}
             sent => return sent.map(|response| (response, connection)),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod catch_up;
 mod coldness;
 mod config;
+mod connection_history;
 mod customer_charges;
 mod evacuations;
 mod event_stream;
@@ -48,6 +49,7 @@
 pub use config::{
     CallerLimits, Customer, Destination, EngineSpec, FleetConfig, Quota, Route, RouteKind, Service,
 };
+pub use connection_history::{CallIdentity, ConnectionHistory};
 pub use customer_charges::CustomerCharges;
 pub use evacuations::{EvacuationStatement, Evacuations};
 pub use event_stream::{EventSplitter, StreamEvent, is_whole_stream};
