A connection carries one control call, so a copy of its answer is told apart

Callers saw 502 for a generation after a reservation that an engine had refused, two generations used one reservation, and reservations were held that nobody used.

Cause: answers to control calls name no request, and were attributed by their order on the connection. A copy of one was taken for the answer to the next control call; from then on the connection was out of step, until the answer of a reservation arrived in place of a caller's request, which then counted as lost.

Change: ConnectionHistory allows one nameless call on a connection; requests may follow, as their answers name them. At most three idle connections that have carried one are kept for a server, since each control call leaves another one.

Weighed: identifiers for control calls (the platform's pages give them none); a new connection only after a refusal (a copy of a granted reservation stays); refusing identifiers of reservations that were seen before (says nothing of refusals and role changes).

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -36,6 +36,10 @@
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 32;
 
+/// Maximum number of idle connections to one server that may carry no further control call. Each control
+/// call leaves another one.
+const MAX_SPENT_IDLE: usize = 3;
+
 /// Size of the buffer of a connection while memory is bounded, in bytes; hyper's own bound is 400 KiB.
 /// The head of an answer has to fit.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -149,6 +153,12 @@
         }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(server).or_default();
+        let is_spent = |c: &IdleConnection| c.connection.history.has_nameless();
+        if connections.iter().filter(|c| is_spent(c)).count() >= MAX_SPENT_IDLE
+            && let Some(oldest) = connections.iter().position(is_spent)
+        {
+            connections.remove(oldest);
+        }
         if connections.len() < max_idle.min(MAX_IDLE) {
             connections.push(IdleConnection {
                 connection,
--- a/crates/routing/src/connection_history.rs
+++ b/crates/routing/src/connection_history.rs
@@ -19,7 +19,7 @@
 ///
 /// A faulty server may send an answer a second time, when any later call on the connection is under way.
 /// The answer to a call can be told from such a copy if no earlier call on the connection had an answer that
-/// names the same: so a connection carries each request once.
+/// names the same: so a connection carries each request once, and one nameless call.
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionHistory {
     /// Hashes of the identifiers. Two identifiers with the same hash only cost another connection.
@@ -34,7 +34,7 @@
             CallIdentity::Request(id) => {
                 self.requests.len() < MAX_CALLS && !self.requests.contains(&hash(id))
             }
-            CallIdentity::Nameless => true,
+            CallIdentity::Nameless => !self.has_nameless,
         }
     }
 
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Whether the connection may carry no further nameless call.
+    pub fn has_nameless(&self) -> bool {
+        self.has_nameless
+    }
+
     /// Whether the connection may carry no further request.
     pub fn is_full(&self) -> bool {
         self.requests.len() >= MAX_CALLS
--- a/crates/routing/tests/connection_history.rs
+++ b/crates/routing/tests/connection_history.rs
@@ -18,6 +18,17 @@
     assert_eq!(history.calls(), 2);
 }
 
+// Guards against a copy of a control call's answer that is taken for the answer to the next one.
+#[test]
+fn a_connection_carries_one_nameless_call() {
+    let mut history = ConnectionHistory::default();
+    history.record(FIRST);
+    assert!(history.may_carry(CallIdentity::Nameless));
+    history.record(CallIdentity::Nameless);
+    assert!(!history.may_carry(CallIdentity::Nameless));
+    assert!(history.may_carry(OTHER), "its answer names it");
+}
+
 // Guards against a history that grows with the age of its connection.
 #[test]
 fn a_connection_that_has_carried_many_requests_is_not_reused() {
