A success that another instance passes on needs a server's signature

An instance checked the signature of a server's answer, but not of one that another instance passed on: a 200 without it was forwarded, as a first answer or in the middle of a stream that had broken off. No build is known to send one; an instance that runs wrong could.

The answer now counts as lost: the request may have run, and one that may be repeated goes to the next instance.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -341,7 +341,7 @@
         let needs_signature = self.status.is_success() && !caller_send.is_prefill;
         if needs_signature && !head.is_signed {
             cx.record_outcome(server, CallOutcome::Broken);
-            return Err(SendError::Lost("answer without a signature"));
+            return Err(UNSIGNED);
         }
         let outcome = match self.status.is_server_error() {
             true => CallOutcome::ServerError,
@@ -437,6 +437,10 @@
 /// The answer does not fit the memory.
 pub const NO_ANSWER_MEMORY: SendError = SendError::Lost("no memory for the answer");
 
+/// The server, or the instance to which the request was passed on, answered with success, but without
+/// the signature of a server.
+pub const UNSIGNED: SendError = SendError::Lost("answer without a signature");
+
 /// The server did not answer within the time limit of the send.
 pub const TIMED_OUT: SendError = SendError::Lost("no answer in time");
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,8 +22,8 @@
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::context::Context;
 use crate::exchange::{
-    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, forwardable_headers, head_timeout,
-    idle_timeout,
+    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, UNSIGNED, forwardable_headers,
+    head_timeout, idle_timeout,
 };
 use crate::held_body::{HeldBody, ReadError};
 use crate::reach;
@@ -266,6 +266,9 @@
     let (parts, body) = response.into_parts();
     let head = (cx.adapter.servers.decode_head)(parts.status, &parts.headers);
     attribution::check(&head, Some(&req.headers.request_id))?;
+    if parts.status.is_success() && !head.is_signed {
+        return Err(UNSIGNED);
+    }
     let is_unreached = parts.headers.contains_key(UNREACHED_HEADER);
     let answer = RelayedAnswer {
         cx: cx.clone(),
