A further run of a stream must go on after the last event

Callers saw, in the middle of a stream that had broken off: text of an error that the next server gave with status 200 (JSON, a text like "Error: ...", a head whose status line has a colon, an error event), events twice or from 1 again, or events of a body declared as HTML; and ends that looked complete after a further run without any event, or after a first answer without length or chunks that ended before its first event. The same for a caller that takes a stream up and whose server begins anew.

Cause: a run was joined to a stream because its status was 2xx. Nothing compared its events with those that the caller had.

EventSplitter now knows after which event its run goes on and whether it takes the place of another one: numbers must rise, each event of a further run must have one, names of fields are names, and a further run without an event does not end the stream. A run that is not used counts as broken off: another one follows within the route's attempts and the retry budget, or the connection ends without the last chunk. Numbers may step by any amount, so gaps stay unnoticed; events of a first run may lack numbers as before.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -87,6 +87,12 @@
         self.charge.as_ref().map_or(0, |charge| charge.tokens)
     }
 
+    /// Returns the event after which the caller takes a stream up; `None` on routes whose streams may not be
+    /// resumed.
+    pub fn position(&self) -> Option<u64> {
+        self.headers.last_event.filter(|_| self.route.is_resumable)
+    }
+
     /// Returns the time left until the deadline, zero once it has passed.
     pub fn time_left(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -111,6 +111,8 @@
     pub status: StatusCode,
     /// Headers of the answer that may be forwarded to the caller.
     pub headers: HeaderMap,
+    /// Whether the body has a length or chunks; it ends with its connection otherwise.
+    pub is_delimited: bool,
     /// Server that answered.
     pub server: ServerKey,
     /// Time by which an answer that is read as a whole must be complete.
@@ -253,6 +255,7 @@
         let exchange = Self {
             status: parts.status,
             idle_timeout: idle_timeout(&parts.headers),
+            is_delimited: is_delimited(&parts.headers),
             headers: forwardable_headers(parts.headers),
             server,
             deadline: started + within,
@@ -590,6 +593,11 @@
     Some(Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
 }
 
+/// Whether the body of an answer has a length or chunks, so that its end is known.
+pub fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the headers of an answer that may be forwarded to a caller.
 pub fn forwardable_headers(mut headers: HeaderMap) -> HeaderMap {
     remove_connection_headers(&mut headers);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -7,7 +7,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, Response, StatusCode};
-use jacinthlever_routing::{CallOutcome, PickParams, RouteKind, ServerKey, is_whole_stream};
+use jacinthlever_routing::{CallOutcome, PickParams, RouteKind, ServerKey, check_stream};
 use tokio::time::sleep;
 
 use crate::answer::{AnswerBody, OUT_OF_REACH, Verdict};
@@ -22,7 +22,6 @@
 use crate::reach;
 use crate::relay::{self, NO_RELAY};
 use crate::sends::SendTicket;
-use crate::stream::BROKEN_OFF;
 use crate::suspects::{self, BrokenRun};
 use crate::{EventCode, ServerHeaders};
 
@@ -41,22 +40,26 @@
     status: StatusCode,
     headers: HeaderMap,
     body: HeldBody,
+    /// Whether the body had a length or chunks; it ended with its connection otherwise.
+    is_delimited: bool,
     /// Whether a server has given it; otherwise it is the verdict of another instance.
     is_from_server: bool,
 }
 
 impl FullResponse {
     /// Checks that a stream has not been broken off. If the answer states no length, only an incomplete
-    /// event shows it.
+    /// event, or none at all, shows it.
     ///
     /// # Errors
-    /// Fails if the stream ends inside an event.
+    /// Fails if the stream ends inside an event or without any, or does not go on after the caller's last
+    /// event.
     fn check_whole(self, req: &CallerRequest) -> Result<Self, SendError> {
-        let is_stream = req.route.kind == RouteKind::Stream && self.status.is_success();
-        match !is_stream || is_whole_stream(&self.body.to_bytes()) {
-            true => Ok(self),
-            false => Err(BROKEN_OFF),
+        if req.route.kind == RouteKind::Stream && self.status.is_success() {
+            let body = self.body.to_bytes();
+            check_stream(&body, req.position(), self.is_delimited)
+                .map_err(|fault| SendError::Lost(fault.reason()))?;
         }
+        Ok(self)
     }
 }
 
@@ -370,11 +373,13 @@
         }
     };
     let (status, headers) = (exchange.status, exchange.headers.clone());
+    let is_delimited = exchange.is_delimited;
     let body = exchange.read_body(MAX_ANSWER_BYTES).await?;
     let response = FullResponse {
         status,
         headers,
         body,
+        is_delimited,
         is_from_server: true,
     };
     response.check_whole(req).inspect_err(|_| {
@@ -404,6 +409,7 @@
     let response = FullResponse {
         status: answer.status,
         headers: answer.headers.clone(),
+        is_delimited: answer.is_delimited,
         is_from_server,
         body: answer.read_body().await?,
     };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,7 +23,7 @@
 use crate::context::Context;
 use crate::exchange::{
     MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, UNSIGNED, forwardable_headers,
-    head_timeout, idle_timeout,
+    head_timeout, idle_timeout, is_delimited,
 };
 use crate::held_body::{HeldBody, ReadError};
 use crate::reach;
@@ -114,6 +114,8 @@
     pub status: StatusCode,
     /// Headers that are forwarded to the caller.
     pub headers: HeaderMap,
+    /// Whether the body has a length or chunks; it ends with its connection otherwise.
+    pub is_delimited: bool,
     body: Incoming,
     connection: Option<Connection>,
     idle_timeout: Option<Duration>,
@@ -276,6 +278,7 @@
         address: address.clone(),
         status: parts.status,
         idle_timeout: idle_timeout(&parts.headers),
+        is_delimited: is_delimited(&parts.headers),
         headers: forwardable_headers(parts.headers),
         body,
         connection: Some(connection),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use jacinthlever_routing::{EventSplitter, StreamEvent};
+use http::HeaderValue;
+use jacinthlever_routing::{EventSplitter, StreamEvent, StreamFault};
 use tokio::time::timeout;
 
 use crate::EventCode;
@@ -40,8 +41,8 @@
 /// The engine sent no event for too long.
 pub const SILENT_ENGINE: SendError = SendError::Lost("engine is silent");
 
-/// A stream ends inside an event.
-pub const BROKEN_OFF: SendError = SendError::Lost("event ended early");
+/// A run that should go on with a stream declares a body of another type.
+const OTHER_TYPE: SendError = SendError::Lost("answer is no stream of events");
 
 /// Forwarding task of one stream to a caller.
 pub struct StreamForwarder {
@@ -53,6 +54,10 @@
     ready: Option<Bytes>,
     last_event: Option<u64>,
     has_event: bool,
+    /// Whether all events so far had numbers.
+    is_numbered: bool,
+    /// Type of the body that the head of the answer declares.
+    content_type: Option<HeaderValue>,
     /// When the first event of the present run arrived; `None` before that.
     run_began_at: Option<Duration>,
     /// Whether the answer has shown that its prompt does not crash engines.
@@ -71,12 +76,14 @@
     pub async fn start(generation: Generation, run: StreamRun) -> Result<Self, Verdict> {
         let mut forwarder = Self {
             record: StreamRecord::start(generation.cx(), generation.req()),
+            events: EventSplitter::first(generation.req().position()),
             generation,
+            content_type: run.content_type().cloned(),
             run: Some(run),
-            events: EventSplitter::default(),
             ready: None,
             last_event: None,
             has_event: false,
+            is_numbered: true,
             run_began_at: None,
             is_proven: false,
             output_tokens: 0,
@@ -174,8 +181,12 @@
         let generation = &mut self.generation;
         let left = generation.req().time_left(generation.cx().now());
         let splitter = &mut self.events;
+        let content_type = self.content_type.clone();
         // A run that fails is dropped: it must not continue in parallel with the next one.
         let events = async move {
+            if splitter.is_joined() && !run.may_follow(content_type.as_ref()) {
+                return Err(OTHER_TYPE);
+            }
             let events = next_events(&mut run, splitter).await?;
             Ok((run, events))
         };
@@ -227,6 +238,7 @@
         let mut complete = Vec::new();
         for event in events {
             self.has_event = true;
+            self.is_numbered &= event.id.is_some() || event.is_empty;
             self.last_event = event.id.or(self.last_event);
             self.output_tokens += self.generation.tokens_per_event();
             complete.extend_from_slice(&event.bytes);
@@ -252,7 +264,7 @@
 
     /// Whether the position in the stream is known, from which another engine would go on.
     fn can_resume(&self) -> bool {
-        !self.has_event || self.last_event.is_some()
+        self.is_numbered
     }
 
     /// Logs a run that has ended before the stream, and checks whether its engine has crashed.
@@ -328,7 +340,8 @@
         self.generation.cx().log(EventCode::Resumed, fields);
         self.run = Some(run);
         self.record_source();
-        self.events = EventSplitter::default();
+        let position = self.last_event.or(self.generation.req().position());
+        self.events = EventSplitter::joined(position);
         self.run_began_at = None;
     }
 
@@ -346,19 +359,20 @@
 
 /// Returns the next complete events of a run; `None` at its end. Bytes that complete no event are no
 /// progress.
+///
+/// # Errors
+/// Fails if the run was broken off, or does not go on after the last event.
 async fn next_events(
     run: &mut StreamRun,
     splitter: &mut EventSplitter,
 ) -> Result<Events, SendError> {
+    let broken = |fault: StreamFault| SendError::Lost(fault.reason());
     loop {
         let Some(chunk) = run.next_chunk().await else {
-            return match splitter.has_partial() {
-                true => Err(BROKEN_OFF),
-                false => Ok(None),
-            };
+            splitter.end(run.is_delimited()).map_err(broken)?;
+            return Ok(None);
         };
-        let events = splitter.push(&chunk?);
-        let events = events.ok_or(SendError::Lost("malformed event"))?;
+        let events = splitter.push(&chunk?).map_err(broken)?;
         if !events.is_empty() {
             return Ok(Some(events));
         }
--- a/crates/gateway/src/stream_run.rs
+++ b/crates/gateway/src/stream_run.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use jacinthlever_routing::ServerKey;
 use smol_str::SmolStr;
 
@@ -11,6 +12,9 @@
 use crate::generation::DecodeRun;
 use crate::relay::RelayedAnswer;
 
+/// Type of a body that is a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A run of a stream.
 pub enum StreamRun {
     /// At an engine.
@@ -36,6 +40,37 @@
         }
     }
 
+    /// Returns the declared type of the body.
+    pub fn content_type(&self) -> Option<&HeaderValue> {
+        self.headers().get(CONTENT_TYPE)
+    }
+
+    /// Whether the body may be a stream of events that goes on with one of the type `first`: it has the
+    /// same type, that of such streams, or none.
+    pub fn may_follow(&self, first: Option<&HeaderValue>) -> bool {
+        let Some(own) = self.content_type() else {
+            return true;
+        };
+        let essence = own.to_str().ok().and_then(|text| text.split(';').next());
+        let is_stream = essence.is_some_and(|e| e.trim().eq_ignore_ascii_case(EVENT_STREAM));
+        is_stream || first == Some(own)
+    }
+
+    /// Whether the body has a length or chunks; it ends with its connection otherwise.
+    pub fn is_delimited(&self) -> bool {
+        match self {
+            Self::Engine(decode) => decode.exchange.is_delimited,
+            Self::Relayed(answer) => answer.is_delimited,
+        }
+    }
+
+    fn headers(&self) -> &HeaderMap {
+        match self {
+            Self::Engine(decode) => &decode.exchange.headers,
+            Self::Relayed(answer) => &answer.headers,
+        }
+    }
+
     /// Returns the run at an engine of this instance, if it is one.
     pub fn engine_mut(&mut self) -> Option<&mut DecodeRun> {
         match self {
--- a/crates/routing/src/event_stream.rs
+++ b/crates/routing/src/event_stream.rs
@@ -12,18 +12,101 @@
     pub bytes: Vec<u8>,
     /// Value of the `id` field, or `None` if the event has none or it is not a number.
     pub id: Option<u64>,
+    /// Whether it consists of comments and blank lines only.
+    pub is_empty: bool,
 }
 
-/// Assembles events from the chunks of a body; see the WHATWG HTML standard, section 9.2.
+impl StreamEvent {
+    /// Returns `None` if one of the lines is no field.
+    fn parse(bytes: Vec<u8>) -> Option<Self> {
+        let text = std::str::from_utf8(&bytes).ok()?;
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        if !text.lines().all(is_field) {
+            return None;
+        }
+        let is_empty = text.lines().all(|l| l.is_empty() || l.starts_with(':'));
+        let id = text.lines().find_map(|line| line.strip_prefix("id:"));
+        let id = id.and_then(|value| value.trim().parse().ok());
+        Some(Self {
+            id,
+            is_empty,
+            bytes,
+        })
+    }
+}
+
+/// Why a run of a stream cannot be used any further.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamFault {
+    /// An event has a line that is no field, or exceeds the maximum size.
+    Malformed,
+    /// An event does not have a greater number than the one before it.
+    OutOfOrder,
+    /// An event has no number, so that it cannot be told whether it is the next one.
+    Unnumbered,
+    /// The run ended inside an event.
+    BrokenOff,
+    /// The run ended without an event, and nothing shows that none was left.
+    NoEvent,
+}
+
+impl StreamFault {
+    /// Returns the fault for logs and metrics.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed event",
+            Self::OutOfOrder => "events are out of order",
+            Self::Unnumbered => "event has no number",
+            Self::BrokenOff => "event ended early",
+            Self::NoEvent => "stream has no event",
+        }
+    }
+}
+
+/// Assembles the events of one run of a stream from the chunks of its body, and checks that they go on
+/// after an event; see the WHATWG HTML standard, section 9.2.
+///
+/// Numbers may step by any amount, so that a gap between two events is not noticed.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
+    /// Number of the last event that the caller has, if it is known.
+    last_event: Option<u64>,
+    /// Whether the run takes the place of another one whose answer has begun.
+    is_joined: bool,
+    has_event: bool,
 }
 
 impl EventSplitter {
-    /// Appends a chunk and returns the events that it completes, or `None` if one of them has a line
-    /// that is no field, or the incomplete one exceeds the maximum size.
-    pub fn push(&mut self, chunk: &[u8]) -> Option<Vec<StreamEvent>> {
+    /// Creates a splitter for the first run of an answer, which goes on after `last_event` if that is
+    /// given.
+    pub fn first(last_event: Option<u64>) -> Self {
+        Self {
+            last_event,
+            ..Self::default()
+        }
+    }
+
+    /// Creates a splitter for a run that takes the place of another one within an answer, and goes on after
+    /// `last_event`. All of its events must be numbered.
+    pub fn joined(last_event: Option<u64>) -> Self {
+        Self {
+            last_event,
+            is_joined: true,
+            ..Self::default()
+        }
+    }
+
+    /// Whether the run takes the place of another one within an answer.
+    pub fn is_joined(&self) -> bool {
+        self.is_joined
+    }
+
+    /// Appends a chunk and returns the events that it completes.
+    ///
+    /// # Errors
+    /// Returns a fault of one of these events, or of the incomplete one; none of them may be used then.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<StreamEvent>, StreamFault> {
         // The line ends that complete an event may be split over two chunks.
         let mut scanned = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(chunk);
@@ -31,31 +114,71 @@
         while let Some(end) = end_of_event(&self.partial, scanned) {
             let rest = self.partial.split_off(end);
             let bytes = mem::replace(&mut self.partial, rest);
-            if !is_event(&bytes) {
-                return None;
-            }
-            let id = id_of(&bytes);
-            events.push(StreamEvent { bytes, id });
+            let event = StreamEvent::parse(bytes).ok_or(StreamFault::Malformed)?;
+            self.check_order(&event)?;
+            events.push(event);
             scanned = 0;
         }
-        (self.partial.len() <= MAX_EVENT_BYTES).then_some(events)
+        match self.partial.len() <= MAX_EVENT_BYTES {
+            true => Ok(events),
+            false => Err(StreamFault::Malformed),
+        }
+    }
+
+    fn check_order(&mut self, event: &StreamEvent) -> Result<(), StreamFault> {
+        if event.is_empty {
+            return Ok(());
+        }
+        self.has_event = true;
+        match event.id {
+            Some(id) if self.last_event.is_some_and(|last| id <= last) => {
+                Err(StreamFault::OutOfOrder)
+            }
+            None if self.is_joined => Err(StreamFault::Unnumbered),
+            id => {
+                self.last_event = id.or(self.last_event);
+                Ok(())
+            }
+        }
     }
 
-    /// Whether the data received so far ends within an event.
-    pub fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+    /// Checks whether a run whose body has ended is complete, as far as that can be told. `is_delimited`
+    /// says that the body had a length or chunks, so that it did not just end with its connection.
+    ///
+    /// A server that is asked for what follows the last event may say that nothing is left. Within an answer
+    /// that is not believed: the caller can ask again itself.
+    ///
+    /// # Errors
+    /// Returns what shows that the run was broken off.
+    pub fn end(&self, is_delimited: bool) -> Result<(), StreamFault> {
+        if !self.partial.is_empty() {
+            return Err(StreamFault::BrokenOff);
+        }
+        match self.has_event || (is_delimited && !self.is_joined) {
+            true => Ok(()),
+            false => Err(StreamFault::NoEvent),
+        }
     }
 }
 
 /// Size of the pieces in which a complete body is split, in bytes.
 const PIECE_BYTES: usize = 4096;
 
-/// Whether a body consists of complete events. One that ends inside an event has been broken off, even
-/// if its connection ended in order.
-pub fn is_whole_stream(body: &[u8]) -> bool {
-    let mut splitter = EventSplitter::default();
-    let mut pieces = body.chunks(PIECE_BYTES);
-    pieces.all(|piece| splitter.push(piece).is_some()) && !splitter.has_partial()
+/// Checks that a body which was received as a whole consists of complete events that go on after
+/// `last_event`; `is_delimited` is that of [`EventSplitter::end`].
+///
+/// # Errors
+/// Returns what shows that the body was broken off, or is no such stream.
+pub fn check_stream(
+    body: &[u8],
+    last_event: Option<u64>,
+    is_delimited: bool,
+) -> Result<(), StreamFault> {
+    let mut splitter = EventSplitter::first(last_event);
+    for piece in body.chunks(PIECE_BYTES) {
+        splitter.push(piece)?;
+    }
+    splitter.end(is_delimited)
 }
 
 /// Returns the position after the first blank line whose preceding line ends at or after `from`.
@@ -71,16 +194,11 @@
         .find_map(|at| after_line(at + 1))
 }
 
-/// Whether all lines are fields or comments. A field without a value may stand without a colon.
-fn is_event(bytes: &[u8]) -> bool {
-    let is_field = |line: &str| {
-        line.is_empty() || line.contains(':') || ["data", "event", "id", "retry"].contains(&line)
-    };
-    std::str::from_utf8(bytes).is_ok_and(|text| text.lines().all(is_field))
-}
-
-fn id_of(event: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(event).ok()?;
-    let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    value.trim().parse().ok()
+/// Whether a line is a field, a comment or blank. A field without a value may stand without a colon.
+fn is_field(line: &str) -> bool {
+    let is_name = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    match line.split_once(':') {
+        Some((name, _)) => name.chars().all(is_name),
+        None => line.is_empty() || ["data", "event", "id", "retry"].contains(&line),
+    }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -50,7 +50,7 @@
 };
 pub use customer_charges::CustomerCharges;
 pub use evacuations::{EvacuationStatement, Evacuations};
-pub use event_stream::{EventSplitter, StreamEvent, is_whole_stream};
+pub use event_stream::{EventSplitter, StreamEvent, StreamFault, check_stream};
 pub use forwarding::{Forwarding, ForwardingGroup};
 pub use membership::{
     Delegate, DigestOutcome, KEEPERS, LostServices, Member, MemberStatus, Membership,
--- a/crates/routing/tests/streams.rs
+++ b/crates/routing/tests/streams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jacinthlever_routing::{EventSplitter, Fingerprint, RetryBudget, SuspectRequests};
+use jacinthlever_routing::{EventSplitter, Fingerprint, RetryBudget, StreamFault, SuspectRequests};
 
 #[test]
 fn events_are_complete_wherever_the_chunks_are_split() {
@@ -15,7 +15,7 @@
         assert_eq!(ids, [1, 2, 3], "split at {at}");
         let joined: Vec<u8> = events.into_iter().flat_map(|e| e.bytes).collect();
         assert_eq!(joined, body);
-        assert!(!splitter.has_partial());
+        assert_eq!(splitter.end(false), Ok(()));
     }
 }
 
@@ -23,26 +23,75 @@
 fn an_incomplete_event_is_not_returned() {
     let mut splitter = EventSplitter::default();
     let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
-    assert_eq!(events.map(|e| e.len()), Some(1));
-    assert!(splitter.has_partial());
+    assert_eq!(events.map(|e| e.len()), Ok(1));
+    assert_eq!(splitter.end(true), Err(StreamFault::BrokenOff));
 }
 
 #[test]
 fn an_event_that_exceeds_the_maximum_size_is_refused() {
     let mut splitter = EventSplitter::default();
     let chunk = vec![b'x'; 100_000];
-    assert!(splitter.push(&chunk).is_some());
-    assert!(splitter.push(&chunk).is_some());
-    assert!(splitter.push(&chunk).is_none());
+    assert!(splitter.push(&chunk).is_ok());
+    assert!(splitter.push(&chunk).is_ok());
+    assert_eq!(splitter.push(&chunk), Err(StreamFault::Malformed));
 }
 
 // Guards against bytes with blank lines that are forwarded as events.
 #[test]
 fn a_line_that_is_no_field_is_refused() {
-    let push = |bytes: &[u8]| EventSplitter::default().push(bytes).is_some();
+    let push = |bytes: &[u8]| EventSplitter::default().push(bytes).is_ok();
     assert!(push(b": comment\nid: 1\nweight-versions:7\ndata\n\n"));
+    assert!(push("\u{feff}id: 1\ndata: a\n\n".as_bytes()));
     assert!(!push(b"junk\n\n"));
     assert!(!push(b"id: 1\n\xff: x\n\n"));
+    assert!(!push(
+        b"HTTP/1.1 500 Error: failed\r\nContent-Type: text/plain\r\n\r\n"
+    ));
+    assert!(!push(b"{\"error\": \"failed\"}\n\n"));
+}
+
+// Guards against runs that are joined to a stream although they do not go on after its last event.
+#[test]
+fn a_run_goes_on_after_the_last_event() {
+    let event = |id: u64| format!("id: {id}\ndata: x\n\n");
+    let error = "event: error\ndata: failed\n\n".to_string();
+    let first = || EventSplitter::first(None);
+    let (taken_up, joined) = (
+        || EventSplitter::first(Some(30)),
+        || EventSplitter::joined(Some(30)),
+    );
+    let cases = [
+        (first(), event(15) + &event(30) + &event(31), None),
+        (first(), event(1) + &error, None),
+        (first(), event(2) + &event(2), Some(StreamFault::OutOfOrder)),
+        (first(), event(2) + &event(1), Some(StreamFault::OutOfOrder)),
+        (taken_up(), event(45), None),
+        (taken_up(), event(30), Some(StreamFault::OutOfOrder)),
+        (joined(), ": wait\n\n".to_string() + &event(45), None),
+        (joined(), event(15), Some(StreamFault::OutOfOrder)),
+        (joined(), error, Some(StreamFault::Unnumbered)),
+        (EventSplitter::joined(None), event(15), None),
+    ];
+    for (mut splitter, body, expected) in cases {
+        assert_eq!(splitter.push(body.as_bytes()).err(), expected, "{body}");
+    }
+}
+
+// Guards against runs without an event that end a stream as if it were complete.
+#[test]
+fn a_run_without_an_event_is_complete_only_if_its_server_says_so() {
+    for (splitter, is_delimited, is_complete) in [
+        (EventSplitter::first(None), true, true),
+        (EventSplitter::first(Some(30)), true, true),
+        (EventSplitter::first(None), false, false),
+        (EventSplitter::joined(Some(30)), true, false),
+    ] {
+        let ended = splitter.end(is_delimited);
+        assert_eq!(ended.is_ok(), is_complete, "{splitter:?} {is_delimited}");
+    }
+    let mut splitter = EventSplitter::first(None);
+    assert_eq!(splitter.push(b": wait\n\n").map(|e| e.len()), Ok(1));
+    assert_eq!(splitter.end(false), Err(StreamFault::NoEvent));
 }
 
 #[test]
