--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,8 +22,8 @@
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::context::Context;
 use crate::exchange::{
-    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, forwardable_headers, head_timeout,
-    idle_timeout,
+    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, UNSIGNED, forwardable_headers,
+    head_timeout, idle_timeout, is_delimited,
 };
 use crate::held_body::{HeldBody, ReadError};
 use crate::reach;
@@ -114,6 +114,8 @@
     pub status: StatusCode,
     /// Headers that are forwarded to the caller.
     pub headers: HeaderMap,
+    /// Whether the body has a length or chunks; it ends with its connection otherwise.
+    pub is_delimited: bool,
     body: Incoming,
     connection: Option<Connection>,
     idle_timeout: Option<Duration>,
@@ -266,6 +268,9 @@
     let (parts, body) = response.into_parts();
     let head = (cx.adapter.servers.decode_head)(parts.status, &parts.headers);
     attribution::check(&head, Some(&req.headers.request_id))?;
+    if parts.status.is_success() && !head.is_signed {
+        return Err(UNSIGNED);
+    }
     let is_unreached = parts.headers.contains_key(UNREACHED_HEADER);
     let answer = RelayedAnswer {
         cx: cx.clone(),
@@ -273,6 +278,7 @@
         address: address.clone(),
         status: parts.status,
         idle_timeout: idle_timeout(&parts.headers),
+        is_delimited: is_delimited(&parts.headers),
         headers: forwardable_headers(parts.headers),
         body,
         connection: Some(connection),
