Answer each request before a planned stop ends

What callers saw: in a planned stop, a booking whose last byte came late in the grace period was passed on and cut at the exit, with no answer. The same held for calls that still ran at the exit, for generations that waited here for engine memory and had never been sent, and for calls that were passed on between instances which stop one after the other (LOST).

Cause: only the moment of the exit knew of the grace period. Admission, the sends, the time that servers were told and the verdict of a request without an answer knew the request's own deadline alone.

Change: PlannedStop (routing) has the times of a stop; Context has its schedule from SIGTERM on, and tasks wait for a time of it rather than for a notification that a new connection could miss. A request is passed on only if it is expected to end before the stop: mean and deviation of the run times of its route as in RFC 6298 (RunTimes), without a sample its own time limit. That is asked once its body is complete and again before each send. A body that is not complete in time is refused at once, and the rest of it is discarded, so that no reset takes the answer away. Servers are told no later deadline. The process exits when all answers are written. Stopped says how many requests got which verdict.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -13,10 +13,11 @@
 use tokio::time::timeout;
 
 use crate::CallerHeaders;
-use crate::answer::{BODY_TOO_LONG, NO_MEMORY, OLDER_CONFIG, STOPPING, Verdict};
+use crate::answer::{BODY_TOO_LONG, NO_MEMORY, OLDER_CONFIG, Verdict};
 use crate::caller_request::{CallerRequest, fingerprint, remove_connection_headers};
 use crate::charge::Charge;
 use crate::context::Context;
+use crate::drain;
 use crate::held_body::{HeldBody, ReadError};
 use crate::quarantine;
 use crate::relay::{ATTEMPTS_HEADER, CONFIG_HEADER, RelayTerms};
@@ -102,7 +103,7 @@
 ) -> Result<CallerRequest, Verdict> {
     let arrived = summary.arrived;
     if relayed.is_some() && cx.state.borrow().is_draining {
-        return Err(Verdict::unavailable(STOPPING, RETRY_AFTER_UNVERIFIED));
+        return Err(Verdict::stopping(false));
     }
     let in_force = cx.state.borrow().config.as_ref().map(|c| c.version);
     if relayed.is_some_and(|relayed| in_force.unwrap_or(0) < relayed.config) {
@@ -116,13 +117,18 @@
     let timeout = headers.timeout.unwrap_or(admission.route.timeout);
     let deadline = arrived + timeout.min(admission.route.timeout);
     let (parts, body) = req.into_parts();
-    let body = read_body(
-        cx,
-        body,
-        admission.config.limits,
-        deadline.saturating_sub(arrived),
-    )
-    .await?;
+    let time_limit = deadline.saturating_sub(arrived);
+    let body = tokio::select! {
+        biased;
+        body = read_body(cx, body, admission.config.limits, time_limit) => body?,
+        () = drain::too_late_to_begin(cx, &admission.route, deadline) => {
+            return Err(Verdict::stopping_unread());
+        }
+    };
+    let is_refused = relayed.is_some() && cx.state.borrow().is_draining;
+    if is_refused || !drain::may_begin(cx, &admission.route, deadline) {
+        return Err(Verdict::stopping(false));
+    }
     let now = cx.now();
     let fingerprint = fingerprint(headers.key.as_deref(), &parts.method, &parts.uri, &body);
     if cx
@@ -164,6 +170,7 @@
         sends,
         charge,
         is_relayed: relayed.is_some(),
+        stop: cx.planned_stop.subscribe(),
     })
 }
 
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -24,9 +24,15 @@
 /// Reason for refusing a relayed request: the sender has a newer configuration.
 pub const OLDER_CONFIG: &str = "configuration is older than the sender's";
 
-/// Reason for refusing a relayed request: this instance is stopping.
+/// Reason for refusing a request, or for giving it up: this instance is stopping.
 pub const STOPPING: &str = "instance is stopping";
 
+/// Reason for refusing a request whose body is not complete: this instance is stopping.
+pub const STOPPING_UNREAD: &str = "instance is stopping and did not wait for the body";
+
+/// Delay after which a caller may retry when this instance is stopping. It finds another one.
+const RETRY_AFTER_STOPPING: Duration = Duration::from_millis(100);
+
 /// Reason for refusing a request: its body is longer than allowed.
 pub const BODY_TOO_LONG: &str = "body is too long";
 
@@ -206,6 +212,22 @@
         }
     }
 
+    /// Refuses a request since this instance is stopping, or gives it up if a server may have run it.
+    pub fn stopping(may_have_run: bool) -> Self {
+        match may_have_run {
+            true => Self::MayHaveRun {
+                status: StatusCode::GATEWAY_TIMEOUT,
+                reason: STOPPING,
+            },
+            false => Self::unavailable(STOPPING, RETRY_AFTER_STOPPING),
+        }
+    }
+
+    /// Refuses a request whose body is not complete, since this instance is stopping.
+    pub fn stopping_unread() -> Self {
+        Self::unavailable(STOPPING_UNREAD, RETRY_AFTER_STOPPING)
+    }
+
     /// Returns the HTTP status of the answer.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -235,13 +257,24 @@
 
     /// Whether the request has not run since this instance cannot send it, while another one may.
     pub fn is_unreached(&self) -> bool {
-        let reasons = [NO_CONNECTION.reason(), OUT_OF_REACH, OLDER_CONFIG, STOPPING];
+        let reasons = [
+            NO_CONNECTION.reason(),
+            OUT_OF_REACH,
+            OLDER_CONFIG,
+            STOPPING,
+            STOPPING_UNREAD,
+        ];
         matches!(self, Self::NotRun { reason, .. } if reasons.contains(reason))
     }
 
     /// Whether the body of the request was refused before its end.
     pub fn leaves_body_unread(&self) -> bool {
-        [BODY_TOO_LONG, NO_MEMORY].contains(&self.reason())
+        [BODY_TOO_LONG, NO_MEMORY, STOPPING_UNREAD].contains(&self.reason())
+    }
+
+    /// Whether the stop of this instance is the reason.
+    pub fn is_stop(&self) -> bool {
+        [STOPPING, STOPPING_UNREAD].contains(&self.reason())
     }
 
     /// Builds the HTTP answer, a JSON body with the reason and whether the request may have run.
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -6,8 +6,9 @@
 
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Method, Uri};
-use jacinthlever_routing::{Fingerprint, FleetConfig, Route};
+use jacinthlever_routing::{Fingerprint, FleetConfig, PlannedStop, Route, RouteKind};
 use smol_str::SmolStr;
+use tokio::sync::watch;
 
 use crate::CallerHeaders;
 use crate::answer::Verdict;
@@ -64,6 +65,8 @@
     pub charge: Option<Charge>,
     /// Whether another instance has passed the request on to this one.
     pub is_relayed: bool,
+    /// Schedule of the planned stop of this instance.
+    pub stop: watch::Receiver<Option<PlannedStop>>,
 }
 
 impl CallerRequest {
@@ -87,9 +90,26 @@
         self.charge.as_ref().map_or(0, |charge| charge.tokens)
     }
 
-    /// Returns the time left until the deadline, zero once it has passed.
+    /// Returns the time left until the deadline, or until this instance stops; zero once it has passed.
     pub fn time_left(&self, now: Duration) -> Duration {
-        self.deadline.saturating_sub(now)
+        let stop = self.stop.borrow();
+        let stops_at = stop.as_ref().map(|stop| match self.route.kind {
+            RouteKind::Stream => stop.exit_by(),
+            RouteKind::Safe | RouteKind::Unsafe => stop.answer_by(),
+        });
+        let until = stops_at.map_or(self.deadline, |at| at.min(self.deadline));
+        until.saturating_sub(now)
+    }
+
+    /// Records how long the request has run, now that its answer is whole. A stream that the caller took
+    /// up does not count.
+    pub fn record_run_time(&self, cx: &Context) {
+        let is_taken_up = self.headers.resumes.is_some() || self.headers.last_event.is_some();
+        if let Some(sent_at) = self.sends.first_sent_at().filter(|_| !is_taken_up) {
+            let took = cx.now().saturating_sub(sent_at);
+            let mut state = cx.state.borrow_mut();
+            state.run_times.record(&self.route.name, took);
+        }
     }
 
     /// Returns the customer's name for metrics and logs, `public` on public routes.
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -5,6 +5,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use jacinthlever_routing::{CallerLimits, RouteKind};
+use jacinthlever_routing::{CallerLimits, PlannedStop, RouteKind};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -54,10 +55,8 @@
 /// Fails if the address cannot be bound.
 pub async fn serve(cx: Rc<Context>) -> io::Result<()> {
     let listener = TcpListener::bind(cx.settings().listen.callers).await?;
-    tokio::select! {
-        () = accept(&cx, &listener, Sender::Caller) => {}
-        () = cx.stop_accepting.notified() => {}
-    }
+    let stop = cx.wait_for_stop(PlannedStop::stop_accepting_at);
+    accept(&cx, &listener, Sender::Caller, stop).await;
     drop(listener);
     std::future::pending().await
 }
@@ -68,18 +67,30 @@
 /// Fails if the address cannot be bound.
 pub async fn serve_relays(cx: Rc<Context>) -> io::Result<()> {
     let listener = TcpListener::bind(cx.settings().listen.peers).await?;
-    accept(&cx, &listener, Sender::Instance).await;
+    accept(&cx, &listener, Sender::Instance, std::future::pending()).await;
     Ok(())
 }
 
-/// Accepts connections forever. More than the share of descriptors that their senders may use are
-/// closed at once, since they would leave too few for the requests being served.
-async fn accept(cx: &Rc<Context>, listener: &TcpListener, sender: Sender) {
+/// Accepts connections until `stop`, and those that the system has opened by then. More than the share of
+/// descriptors that their senders may use are closed at once, since they would leave too few for the
+/// requests being served.
+async fn accept(
+    cx: &Rc<Context>,
+    listener: &TcpListener,
+    sender: Sender,
+    stop: impl Future<Output = ()>,
+) {
+    let mut stop = pin!(stop);
     let unreserved = cx.settings().max_descriptors - RESERVED_DESCRIPTORS;
     let max_open = (unreserved as f64 * sender.descriptor_share()) as usize;
     let open = Rc::new(Cell::new(0_usize));
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = stop.as_mut() => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) if open.get() < max_open => stream,
             Ok(_) => continue,
             Err(error) => {
@@ -126,7 +137,7 @@
                 let response = answer(&cx, &req);
                 async move { Ok::<_, Infallible>(response) }
             });
-            let monitor = ActivityMonitor::start();
+            let monitor = ActivityMonitor::start(&Rc::default());
             let io = TokioIo::new(MonitoredStream::new(stream, monitor.clone()));
             let connection = http1::Builder::new().serve_connection(io, service);
             let limits = CallerLimits::default();
@@ -163,7 +174,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY not set on a caller's connection: {error}");
     }
-    let monitor = ActivityMonitor::start();
+    let monitor = ActivityMonitor::start(&cx.busy_connections);
     let limits = connection_limits(&cx, sender);
     let mut stream = MonitoredStream::new(stream, monitor.clone());
     if saves_memory {
@@ -177,7 +188,7 @@
             let (cx, monitor) = (cx.clone(), monitor.clone());
             // Boxed: an idle connection would otherwise reserve memory for this future.
             Box::pin(async move {
-                let response = respond(&cx, req, sender).await;
+                let response = respond(&cx, req, sender, &monitor).await;
                 monitor.hold_answer(response.body().lease());
                 Ok::<_, Infallible>(
                     response.map(|body| body.on_end(move || monitor.request_finished())),
@@ -186,22 +197,24 @@
         })
     };
     // hyper panics if the buffer is smaller than 8192 bytes.
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .max_buf_size(limits.header_bytes.max(8192))
         .serve_connection(io, service);
-    let mut connection = std::pin::pin!(connection);
     let mut is_closing = false;
     loop {
         tokio::select! {
-            served = connection.as_mut() => {
+            served = &mut connection => {
                 if let Err(error) = served {
                     log::debug!("caller's connection ended with an error: {error}");
                 }
-                return;
+                break;
             }
-            () = cx.close_connections.notified(), if !is_closing => {
+            // Other instances learn that this one is stopping from its answers.
+            () = cx.wait_for_stop(PlannedStop::close_connections_at),
+                if !is_closing && sender == Sender::Caller =>
+            {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
             timeout_kind = monitor.timed_out(limits) => match timeout_kind {
                 TimeoutKind::SlowHead => {
@@ -211,14 +224,14 @@
                 TimeoutKind::Shed => return,
                 TimeoutKind::Idle if cx.memory.is_active() => {
                     // A caller that does not read the end of an answer would keep the connection.
-                    connection.as_mut().graceful_shutdown();
-                    let ended = timeout(limits.header_timeout, connection.as_mut()).await;
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                    let ended = timeout(limits.header_timeout, &mut connection).await;
                     log::trace!("idle connection of a caller closed in time: {}", ended.is_ok());
                     return;
                 }
                 TimeoutKind::Idle => {
-                    connection.as_mut().graceful_shutdown();
-                    let served = connection.as_mut().await;
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                    let served = (&mut connection).await;
                     log::trace!(
                         "idle connection of a caller closed without an error: {}",
                         served.is_ok()
@@ -228,6 +241,15 @@
             }
         }
     }
+    if monitor.has_unread_body() {
+        // Closing a connection with unread bytes resets it, and the caller may lose the answer.
+        let mut stream = connection.into_parts().io.into_inner();
+        monitor.begin_count();
+        tokio::select! {
+            () = stream.discard() => {}
+            () = cx.wait_for_stop(PlannedStop::exit_by) => {}
+        }
+    }
 }
 
 fn connection_limits(cx: &Context, sender: Sender) -> CallerLimits {
@@ -274,7 +296,12 @@
     }
 }
 
-async fn respond(cx: &Rc<Context>, req: Request<Incoming>, sender: Sender) -> Response<AnswerBody> {
+async fn respond(
+    cx: &Rc<Context>,
+    req: Request<Incoming>,
+    sender: Sender,
+    monitor: &ActivityMonitor,
+) -> Response<AnswerBody> {
     let arrived = cx.now();
     let headers = match (cx.adapter.callers.decode_headers)(req.headers()) {
         Ok(headers) => headers,
@@ -290,6 +317,9 @@
     let verdict = result.as_ref().err();
     let leaves_body_unread =
         cx.memory.is_active() && verdict.is_some_and(Verdict::leaves_body_unread);
+    if verdict.is_some_and(|v| v.is_stop() && v.leaves_body_unread()) {
+        monitor.leave_body_unread();
+    }
     let mut response = match result {
         Ok(response) => response,
         Err(verdict) => {
@@ -339,6 +369,14 @@
         Verdict::NotRun { .. } => EventCode::Refused,
         Verdict::MayHaveRun { .. } => EventCode::Failed,
     };
+    if verdict.is_stop() {
+        let verdicts = &cx.stop_verdicts;
+        let count = match verdict.is_not_run() {
+            true => &verdicts.not_run,
+            false => &verdicts.may_have_run,
+        };
+        count.set(count.get() + 1);
+    }
     let config_verification_age = cx.state.borrow().config_verification_age(now);
     let ms = |time: Duration| time.as_millis() as u64;
     cx.log(
@@ -361,14 +399,18 @@
 }
 
 async fn answer(cx: &Rc<Context>, req: Rc<CallerRequest>) -> Result<Response<AnswerBody>, Verdict> {
-    let left = req.time_left(cx.now());
-    let answer = timeout(left, forward(cx.clone(), req.clone())).await;
-    let result = answer.unwrap_or_else(|_| {
-        Err(match req.may_have_run.get() {
+    let left = req.deadline.saturating_sub(cx.now());
+    let result = tokio::select! {
+        biased;
+        result = forward(cx.clone(), req.clone()) => result,
+        () = sleep(left) => Err(match req.may_have_run.get() {
             true => Verdict::timed_out(),
             false => Verdict::unavailable("no server had room in time", RETRY_AFTER_UNVERIFIED),
-        })
-    });
+        }),
+        () = cx.wait_for_stop(PlannedStop::answer_by) => {
+            Err(Verdict::stopping(req.may_have_run.get()))
+        }
+    };
     if let Ok(response) = &result {
         log_answer(cx, &req, response.status());
     }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use jacinthlever_routing::CallerLimits;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
@@ -46,21 +46,50 @@
     since: Cell<Instant>,
     /// Memory of the answer that is being sent, also of the end that waits in the connection's buffer.
     answer: RefCell<Option<Rc<MemoryLease>>>,
+    /// Number of connections that have read a request whose answer has not been written.
+    busy_connections: Rc<Cell<usize>>,
+    /// Whether this connection is counted there.
+    is_counted: Cell<bool>,
+    /// Whether a request was answered before its body was complete.
+    has_unread_body: Cell<bool>,
 }
 
 impl ActivityMonitor {
-    /// Creates the monitor of a new, idle connection.
-    pub fn start() -> Rc<Self> {
+    /// Creates the monitor of a new, idle connection, which is counted in `busy_connections` from when it has
+    /// read the head of a request until the answer is written.
+    pub fn start(busy_connections: &Rc<Cell<usize>>) -> Rc<Self> {
         Rc::new(Self {
             phase: Cell::new(Phase::Idle),
             since: Cell::new(Instant::now()),
             answer: RefCell::default(),
+            busy_connections: busy_connections.clone(),
+            is_counted: Cell::new(false),
+            has_unread_body: Cell::new(false),
         })
     }
 
     /// Records that the header section of a request is complete.
     pub fn request_started(&self) {
         self.enter(Phase::Busy);
+        self.begin_count();
+    }
+
+    /// Counts the connection as busy until its answer is written, or it has ended.
+    pub fn begin_count(&self) {
+        if !self.is_counted.replace(true) {
+            let busy = &self.busy_connections;
+            busy.set(busy.get() + 1);
+        }
+    }
+
+    /// Records that a request is answered before its body is complete.
+    pub fn leave_body_unread(&self) {
+        self.has_unread_body.set(true);
+    }
+
+    /// Whether a request was answered before its body was complete.
+    pub fn has_unread_body(&self) -> bool {
+        self.has_unread_body.get()
     }
 
     /// Records that an answer has been sent.
@@ -76,6 +105,14 @@
     fn all_sent(&self) {
         if self.phase.get() != Phase::Busy {
             self.answer.take();
+            self.end_count();
+        }
+    }
+
+    fn end_count(&self) {
+        if self.is_counted.replace(false) {
+            let busy = &self.busy_connections;
+            busy.set(busy.get() - 1);
         }
     }
 
@@ -124,6 +161,12 @@
     }
 }
 
+impl Drop for ActivityMonitor {
+    fn drop(&mut self) {
+        self.end_count();
+    }
+}
+
 /// A caller's connection that reports received bytes to its monitor.
 pub struct MonitoredStream {
     stream: TcpStream,
@@ -146,6 +189,12 @@
         self.has_small_reads = true;
     }
 
+    /// Reads and discards what is received until the other side closes the connection.
+    pub async fn discard(&mut self) {
+        let mut buf = vec![0; SMALL_READ_BYTES];
+        while self.stream.read(&mut buf).await.is_ok_and(|n| n > 0) {}
+    }
+
     /// Reads a small piece. The buffer is written to only when one has arrived: pages of it that were never
     /// written to take no memory.
     fn poll_small_read(
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{CallOutcome, ServerKey};
+use jacinthlever_routing::{CallOutcome, PlannedStop, ServerKey};
 use serde_json::Value;
 use tokio::sync::{Notify, watch};
+use tokio::time::sleep;
 
 use crate::capacity_queue::CapacityQueue;
 use crate::connection_pool::ConnectionPool;
@@ -25,6 +26,15 @@
 /// start time, so the numbers of two processes at the same address differ.
 const CALL_NUMBER_BITS: u32 = 20;
 
+/// Numbers of requests that were answered by this instance because of its stop.
+#[derive(Debug, Default)]
+pub struct StopVerdicts {
+    /// Those that have not run.
+    pub not_run: Cell<u64>,
+    /// Those that a backend server may have run.
+    pub may_have_run: Cell<u64>,
+}
+
 /// Shared context of a running instance. All its tasks run on one thread; only the event log has a
 /// thread of its own.
 pub struct Context {
@@ -83,10 +93,12 @@
     pub streams_recorded: Notify,
     /// Notified when a peer may have newer rows of the store's tables.
     pub peer_rows_changed: Notify,
-    /// Notified once when callers' connections are to be closed after the current request.
-    pub close_connections: Notify,
-    /// Notified once when no more connections of callers are to be accepted.
-    pub stop_accepting: Notify,
+    /// Schedule of the planned stop; `None` before SIGTERM.
+    pub planned_stop: watch::Sender<Option<PlannedStop>>,
+    /// Requests that were answered by this instance because of its stop.
+    pub stop_verdicts: StopVerdicts,
+    /// Number of connections of callers and instances with a request whose answer has not been written.
+    pub busy_connections: Rc<Cell<usize>>,
     /// Time at which the last generation arrived; `None` before the first one.
     pub last_generation_at: Cell<Option<Duration>>,
     /// Number of requests whose answer is not complete.
@@ -138,8 +150,9 @@
             engine_versions_changed: Notify::new(),
             streams_recorded: Notify::new(),
             peer_rows_changed: Notify::new(),
-            close_connections: Notify::new(),
-            stop_accepting: Notify::new(),
+            planned_stop: watch::Sender::default(),
+            stop_verdicts: StopVerdicts::default(),
+            busy_connections: Rc::default(),
             last_generation_at: Cell::new(None),
             in_flight: Cell::new(0),
             incarnation,
@@ -168,6 +181,26 @@
         memory_mb.is_some()
     }
 
+    /// Waits for a time of the planned stop. Does not return unless one begins.
+    pub async fn wait_for_stop(&self, time: impl Fn(&PlannedStop) -> Duration) {
+        let mut stop = self.planned_stop.subscribe();
+        loop {
+            let at = stop.borrow_and_update().as_ref().map(&time);
+            let left = at.map(|at| at.saturating_sub(self.now()));
+            // The sender is a part of the context, so the channel stays open.
+            match left {
+                Some(Duration::ZERO) => return,
+                Some(left) => {
+                    tokio::select! {
+                        _ = stop.changed() => {}
+                        () = sleep(left) => {}
+                    }
+                }
+                None => drop(stop.changed().await),
+            }
+        }
+    }
+
     /// Logs an event with its fields.
     pub fn log<const N: usize>(&self, code: EventCode, fields: [(&str, Value); N]) {
         self.event_log.log(code, fields);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,12 +15,14 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use crate::answer::STOPPING;
 use crate::attribution;
 use crate::caller_request::{CallerRequest, remove_connection_headers};
 use crate::cold_servers;
 use crate::connection_pool::{Connection, RequestBody};
 use crate::context::Context;
 use crate::departures;
+use crate::drain;
 use crate::evacuations::EVACUATED;
 use crate::held_body::{HeldBody, ReadError};
 use crate::pauses;
@@ -151,6 +153,11 @@
             ..extra
         };
         let is_prefill = extra.prefill_only;
+        let goes_on = extra.last_event.is_some() && extra.last_event != req.headers.last_event;
+        let is_under_way = goes_on || req.sends.is_prefilled();
+        if !is_under_way && !drain::may_begin(cx, &req.route, req.deadline) {
+            return Err(STOPS_TOO_SOON);
+        }
         // The permits of a reserved decode were acquired with its reservation.
         let has_permit = match extra.reservation_id {
             Some(_) => true,
@@ -440,6 +447,9 @@
 /// The server did not answer within the time limit of the send.
 pub const TIMED_OUT: SendError = SendError::Lost("no answer in time");
 
+/// The request could not end before this instance stops.
+pub const STOPS_TOO_SOON: SendError = SendError::Unsent(STOPPING);
+
 /// The caller's key was revoked, or may have been, between the request's arrival and the send.
 pub const KEY_REVOKED: SendError = SendError::Unsent("key is no longer accepted");
 
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -18,6 +18,7 @@
 use crate::answer::{AnswerBody, OUT_OF_REACH, Verdict};
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
+use crate::drain;
 use crate::evacuations::ALL_EVACUATED;
 use crate::exchange::{
     Exchange, KEY_REVOKED, MAX_ANSWER_BYTES, NO_SERVER_NOW, SendError, TIMED_OUT, head_timeout,
@@ -490,6 +491,10 @@
     ) -> Result<(PreparedDecode, SendTicket), Verdict> {
         self.check_quarantine()?;
         let reservation = self.reserve().await?;
+        let goes_on = self.has_begun() && !self.is_taken_up();
+        if !goes_on && !drain::may_begin(&self.cx, &self.req.route, self.req.deadline) {
+            return Err(Verdict::stopping(self.req.may_have_run.get()));
+        }
         self.req.confirm_charge()?;
         self.steps.reserved = self.cx.now();
         let (kv, ticket) = self.prefill(&reservation, ticket).await?;
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -92,6 +92,7 @@
             ended = with_task_name("peers", peers::run(cx.clone())) => ended?,
         }
         sleep(LOG_FLUSH_TIME).await;
+        drain::finish_writing(&cx).await;
         Ok(())
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -102,6 +102,9 @@
         is_passed_on: false,
     };
     let answer = call.run().await?;
+    if answer.status.is_success() {
+        call.req.record_run_time(&call.cx);
+    }
     let mut response = Response::new(AnswerBody::held(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,9 +21,10 @@
 use crate::caller_request::CallerRequest;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::context::Context;
+use crate::drain;
 use crate::exchange::{
-    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, forwardable_headers, head_timeout,
-    idle_timeout,
+    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, STOPS_TOO_SOON, SendError, TIMED_OUT, forwardable_headers,
+    head_timeout, idle_timeout,
 };
 use crate::held_body::{HeldBody, ReadError};
 use crate::reach;
@@ -154,6 +155,9 @@
     tickets: Vec<SendTicket>,
     last_event: Option<u64>,
 ) -> Result<RelayedAnswer, SendError> {
+    if last_event.is_none() && !drain::may_begin(cx, &req.route, req.deadline) {
+        return Err(STOPS_TOO_SOON);
+    }
     let is_repeatable = req.route.kind == RouteKind::Safe;
     let mut tried = Vec::new();
     let mut last = NO_RELAY;
--- a/crates/gateway/src/sends.rs
+++ b/crates/gateway/src/sends.rs
@@ -26,6 +26,8 @@
     /// Whether an engine has completed a prefill.
     is_prefilled: Cell<bool>,
     count: Cell<u32>,
+    /// When the request was first written to a connection; `None` before that.
+    first_sent_at: Cell<Option<Duration>>,
 }
 
 impl Sends {
@@ -38,6 +40,7 @@
             has_first: Cell::new(true),
             is_prefilled: Cell::new(false),
             count: Cell::new(0),
+            first_sent_at: Cell::new(None),
         })
     }
 
@@ -46,6 +49,11 @@
         self.count.get()
     }
 
+    /// Returns when the request was first written to a connection; `None` before that.
+    pub fn first_sent_at(&self) -> Option<Duration> {
+        self.first_sent_at.get()
+    }
+
     /// Whether an engine has completed a prefill, so that a further one is a retry.
     pub fn is_prefilled(&self) -> bool {
         self.is_prefilled.get()
@@ -132,6 +140,8 @@
     pub fn record_use(&self) {
         let now = self.sends.cx.now();
         self.used_at.set(Some(now));
+        let first_sent_at = &self.sends.first_sent_at;
+        first_sent_at.set(first_sent_at.get().or(Some(now)));
         self.sends.count.set(self.sends.count.get() + 1);
         if self.is_retry {
             self.sends.with_budget(|budget| budget.spend(now));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 
 use jacinthlever_routing::{
     AllowanceShare, FleetConfig, Membership, OutputEstimates, QuotaLedger, Reach, RetryBudget,
-    ServerKey, ServerPool, ServiceReach, StreamJournal, StreamOrigins, SuspectParts,
+    RunTimes, ServerKey, ServerPool, ServiceReach, StreamJournal, StreamOrigins, SuspectParts,
     SuspectRequests, VersionNotes,
 };
 use smol_str::SmolStr;
@@ -78,6 +78,8 @@
     pub loads_digested_at: Duration,
     /// Learned output of generations.
     pub output_estimates: OutputEstimates,
+    /// Learned run times of requests.
+    pub run_times: RunTimes,
 }
 
 impl State {
@@ -115,6 +117,9 @@
         let services = config.services.iter();
         let cold_rates = services.filter_map(|(name, s)| Some((name.clone(), s.cold_rate?)));
         self.pool.set_cold_rates(cold_rates.collect());
+        let routes = &config.routes;
+        let is_kept = |name: &SmolStr| routes.iter().any(|route| route.name == *name);
+        self.run_times.retain(is_kept);
         self.config_freshness.row = row;
         self.config = Some(Rc::new(config));
         true
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -131,6 +131,8 @@
                     self.run = Some(run);
                     self.record_proof();
                     self.generation.record_output(self.output_tokens);
+                    let (cx, req) = (self.generation.cx(), self.generation.req());
+                    req.record_run_time(cx);
                     self.record.set_outcome("whole");
                     return None;
                 }
