A late refusal does not undo the possible run of another send

What callers saw: 503 with the promise that the request has not run, though a server had run it (REFUSED).

Cause: each send saved the flag may_have_run, set it, and restored it when its server had not run the request. Two sends beside each other overwrite each other's state: the earlier one restores "not run" over the possible run of the later one. A hedged call of a plain service has the same fault until the other send ends, so at the deadline or at the end of a planned stop.

Change: a request counts its possible runs. A send begins one and withdraws only that one; what is given up or lost stays counted. The places that set the flag again after the fact are gone.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -57,8 +57,9 @@
     pub deadline: Duration,
     /// Hash of key, method, path and body, which identifies equal requests.
     pub fingerprint: Fingerprint,
-    /// Whether a backend server may have run the request.
-    pub may_have_run: Cell<bool>,
+    /// Number of sends that a backend server may have run: those under way, and those that ended without
+    /// the proof that they were not run.
+    pub possible_runs: Cell<u32>,
     /// The sends of the request to backend servers.
     pub sends: Rc<Sends>,
     /// Charge against the customer's quota; `None` on public routes.
@@ -70,6 +71,22 @@
 }
 
 impl CallerRequest {
+    /// Whether a backend server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs.get() > 0
+    }
+
+    /// Records that a send begins, which a backend server may run. It is counted as long as it is not
+    /// withdrawn, also when it is given up.
+    pub fn begin_run(&self) {
+        self.possible_runs.set(self.possible_runs.get() + 1);
+    }
+
+    /// Records that a send which has begun was not run and will not be. Others may have been.
+    pub fn withdraw_run(&self) {
+        self.possible_runs.set(self.possible_runs.get() - 1);
+    }
+
     /// Charges the customer, unless that has been done already.
     ///
     /// # Errors
@@ -135,7 +152,7 @@
 
 impl Drop for CallerRequest {
     fn drop(&mut self) {
-        if let Some(charge) = self.charge.as_ref().filter(|_| self.may_have_run.get()) {
+        if let Some(charge) = self.charge.as_ref().filter(|_| self.may_have_run()) {
             charge.settle();
         }
     }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -403,12 +403,12 @@
     let result = tokio::select! {
         biased;
         result = forward(cx.clone(), req.clone()) => result,
-        () = sleep(left) => Err(match req.may_have_run.get() {
+        () = sleep(left) => Err(match req.may_have_run() {
             true => Verdict::timed_out(),
             false => Verdict::unavailable("no server had room in time", RETRY_AFTER_UNVERIFIED),
         }),
         () = cx.wait_for_stop(PlannedStop::answer_by) => {
-            Err(Verdict::stopping(req.may_have_run.get()))
+            Err(Verdict::stopping(req.may_have_run()))
         }
     };
     if let Ok(response) = &result {
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -353,7 +353,6 @@
     pub fn record_lost_run(&mut self) {
         self.since = self.cx.now();
         self.possible_runs += 1;
-        self.req.may_have_run.set(true);
     }
 
     /// Starts a search for an engine beside a silent one, whose run counts.
@@ -493,7 +492,7 @@
         let reservation = self.reserve().await?;
         let goes_on = self.has_begun() && !self.is_taken_up();
         if !goes_on && !drain::may_begin(&self.cx, &self.req.route, self.req.deadline) {
-            return Err(Verdict::stopping(self.req.may_have_run.get()));
+            return Err(Verdict::stopping(self.req.may_have_run()));
         }
         self.req.confirm_charge()?;
         self.steps.reserved = self.cx.now();
@@ -505,7 +504,7 @@
     /// Refuses the request if a part of its prompt has been quarantined since it was admitted.
     fn check_quarantine(&self) -> Result<(), Verdict> {
         quarantine::check(&self.cx, &self.req.headers.shared_parts).map_err(|verdict| {
-            match self.req.may_have_run.get() {
+            match self.req.may_have_run() {
                 true => Verdict::lost(verdict.reason()),
                 false => verdict,
             }
@@ -542,7 +541,7 @@
     /// Returns the verdict for a request that is given up: not run, unless an earlier round may
     /// have run it.
     fn refusal(&self, reason: &'static str) -> Verdict {
-        if self.req.may_have_run.get() {
+        if self.req.may_have_run() {
             return Verdict::lost(reason);
         }
         let left = self.req.time_left(self.cx.now());
@@ -960,7 +959,7 @@
         reservation.start_local_prefill();
     }
     let left = req.time_left(cx.now());
-    let before = req.may_have_run.replace(true);
+    req.begin_run();
     let sent = Exchange::send(cx, reservation.server, req, extra, left, ticket).await;
     match &sent {
         Ok(_) => {
@@ -969,7 +968,7 @@
                 kv.is_transferred.set(true);
             }
         }
-        Err(error) if !error.may_have_run() => req.may_have_run.set(before),
+        Err(error) if !error.may_have_run() => req.withdraw_run(),
         Err(_) => {}
     }
     sent
