--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,9 +21,10 @@
 use crate::caller_request::CallerRequest;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::context::Context;
+use crate::drain;
 use crate::exchange::{
-    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, UNSIGNED, forwardable_headers,
-    head_timeout, idle_timeout, is_delimited,
+    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, STOPS_TOO_SOON, SendError, TIMED_OUT, UNSIGNED,
+    forwardable_headers, head_timeout, idle_timeout, is_delimited,
 };
 use crate::held_body::{HeldBody, ReadError};
 use crate::reach;
@@ -156,6 +157,9 @@
     tickets: Vec<SendTicket>,
     last_event: Option<u64>,
 ) -> Result<RelayedAnswer, SendError> {
+    if last_event.is_none() && !drain::may_begin(cx, &req.route, req.deadline) {
+        return Err(STOPS_TOO_SOON);
+    }
     let is_repeatable = req.route.kind == RouteKind::Safe;
     let mut tried = Vec::new();
     let mut last = NO_RELAY;
@@ -212,16 +216,18 @@
     attempts: u32,
     last_event: Option<u64>,
 ) -> Result<RelayedAnswer, Verdict> {
-    let refusal = |reason| match req.may_have_run.get() {
+    let refusal = |reason| match req.may_have_run() {
         true => Verdict::lost(reason),
         false => Verdict::unavailable(reason, retry_after(cx)),
     };
     let tickets = req.sends.relay_tickets();
     let tickets = tickets.ok_or_else(|| refusal(BUDGET_SPENT))?;
-    let before = req.may_have_run.replace(true);
+    req.begin_run();
     let sent = send(cx, req, attempts, tickets, last_event).await;
     sent.map_err(|error| {
-        req.may_have_run.set(before || error.may_have_run());
+        if !error.may_have_run() {
+            req.withdraw_run();
+        }
         match error {
             TIMED_OUT => Verdict::timed_out(),
             _ => refusal(error.reason()),
