A refusal undoes its own send only in what may have run

Whether a request may have run was one flag, which each send set and, when it was refused, put back to its value from before that send. A send that began or broke off meanwhile was forgotten.

Callers saw 503 for a request that a server had: the first server of an idempotent request refused late, after the hedge was sent, and the caller's time ended while the hedge was under way; and 503 for a resumable generation whose successor had received it and broken off, when the silent first engine refused it then. A charge is refunded in the same cases.

The request now counts the sends that may have run it, and a refusal takes back its own. The places that set the flag again after another send had put it back are not needed any more.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -160,7 +160,7 @@
         arrived,
         deadline,
         fingerprint,
-        may_have_run: Cell::new(false),
+        possible_runs: Cell::new(0),
         sends,
         charge,
         is_relayed: relayed.is_some(),
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -56,8 +56,8 @@
     pub deadline: Duration,
     /// Hash of key, method, path and body, which identifies equal requests.
     pub fingerprint: Fingerprint,
-    /// Whether a backend server may have run the request.
-    pub may_have_run: Cell<bool>,
+    /// Number of sends that may have run the request.
+    pub possible_runs: Cell<u32>,
     /// The sends of the request to backend servers.
     pub sends: Rc<Sends>,
     /// Charge against the customer's quota; `None` on public routes.
@@ -67,6 +67,23 @@
 }
 
 impl CallerRequest {
+    /// Records that the request is about to be sent, to a backend server that may run it or to another
+    /// instance. The request may have run from now on, since it may be answered during the send.
+    pub fn begin_run(&self) {
+        self.possible_runs.set(self.possible_runs.get() + 1);
+    }
+
+    /// Records that a send after [`Self::begin_run`] has not run the request. It speaks of no other send.
+    pub fn record_not_run(&self) {
+        self.possible_runs
+            .set(self.possible_runs.get().saturating_sub(1));
+    }
+
+    /// Whether a backend server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs.get() > 0
+    }
+
     /// Charges the customer, unless that has been done already.
     ///
     /// # Errors
@@ -115,7 +132,7 @@
 
 impl Drop for CallerRequest {
     fn drop(&mut self) {
-        if let Some(charge) = self.charge.as_ref().filter(|_| self.may_have_run.get()) {
+        if let Some(charge) = self.charge.as_ref().filter(|_| self.may_have_run()) {
             charge.settle();
         }
     }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -364,7 +364,7 @@
     let left = req.time_left(cx.now());
     let answer = timeout(left, forward(cx.clone(), req.clone())).await;
     let result = answer.unwrap_or_else(|_| {
-        Err(match req.may_have_run.get() {
+        Err(match req.may_have_run() {
             true => Verdict::timed_out(),
             false => Verdict::unavailable("no server had room in time", RETRY_AFTER_UNVERIFIED),
         })
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -352,7 +352,6 @@
     pub fn record_lost_run(&mut self) {
         self.since = self.cx.now();
         self.possible_runs += 1;
-        self.req.may_have_run.set(true);
     }
 
     /// Starts a search for an engine beside a silent one, whose run counts.
@@ -500,7 +499,7 @@
     /// Refuses the request if a part of its prompt has been quarantined since it was admitted.
     fn check_quarantine(&self) -> Result<(), Verdict> {
         quarantine::check(&self.cx, &self.req.headers.shared_parts).map_err(|verdict| {
-            match self.req.may_have_run.get() {
+            match self.req.may_have_run() {
                 true => Verdict::lost(verdict.reason()),
                 false => verdict,
             }
@@ -537,7 +536,7 @@
     /// Returns the verdict for a request that is given up: not run, unless an earlier round may
     /// have run it.
     fn refusal(&self, reason: &'static str) -> Verdict {
-        if self.req.may_have_run.get() {
+        if self.req.may_have_run() {
             return Verdict::lost(reason);
         }
         let left = self.req.time_left(self.cx.now());
@@ -955,7 +954,7 @@
         reservation.start_local_prefill();
     }
     let left = req.time_left(cx.now());
-    let before = req.may_have_run.replace(true);
+    req.begin_run();
     let sent = Exchange::send(cx, reservation.server, req, extra, left, ticket).await;
     match &sent {
         Ok(_) => {
@@ -964,7 +963,7 @@
                 kv.is_transferred.set(true);
             }
         }
-        Err(error) if !error.may_have_run() => req.may_have_run.set(before),
+        Err(error) if !error.may_have_run() => req.record_not_run(),
         Err(_) => {}
     }
     sent
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -294,7 +294,6 @@
                     }
                 }
                 if error.may_have_run() {
-                    self.req.may_have_run.set(true);
                     self.possible_runs = match server {
                         Some(_) => self.possible_runs + 1,
                         // The other instance may have used all attempts.
@@ -318,7 +317,7 @@
 
     fn final_result(&mut self) -> Result<FullResponse, Verdict> {
         // A refusal speaks of one send only; another one may have been carried out.
-        let may_have_run = self.req.may_have_run.get();
+        let may_have_run = self.req.may_have_run();
         let failure = self.last_failure.take();
         if let Some(answer) = failure.filter(|a| !(may_have_run && implies_not_run(a.status))) {
             return Ok(answer);
@@ -355,8 +354,7 @@
     req: &Rc<CallerRequest>,
     ticket: SendTicket,
 ) -> Result<FullResponse, SendError> {
-    // Set before the send, since the request may time out, and be answered, during the send.
-    let previous = req.may_have_run.replace(true);
+    req.begin_run();
     let within = req.time_left(cx.now());
     let extra = ServerHeaders::default();
     let sent = Exchange::send(cx, server, req, extra, within, ticket).await;
@@ -364,7 +362,7 @@
         Ok(exchange) => exchange,
         Err(error) => {
             if !error.may_have_run() {
-                req.may_have_run.set(previous);
+                req.record_not_run();
             }
             return Err(error);
         }
@@ -389,17 +387,17 @@
     attempts: u32,
     tickets: Vec<SendTicket>,
 ) -> Result<FullResponse, SendError> {
-    let previous = req.may_have_run.replace(true);
+    req.begin_run();
     let answer = relay::send(cx, req, attempts, tickets, None)
         .await
         .inspect_err(|error| {
             if !error.may_have_run() {
-                req.may_have_run.set(previous);
+                req.record_not_run();
             }
         })?;
     let is_from_server = answer.is_from_server();
     if !is_from_server && implies_not_run(answer.status) {
-        req.may_have_run.set(previous);
+        req.record_not_run();
     }
     let response = FullResponse {
         status: answer.status,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -210,16 +210,18 @@
     attempts: u32,
     last_event: Option<u64>,
 ) -> Result<RelayedAnswer, Verdict> {
-    let refusal = |reason| match req.may_have_run.get() {
+    let refusal = |reason| match req.may_have_run() {
         true => Verdict::lost(reason),
         false => Verdict::unavailable(reason, retry_after(cx)),
     };
     let tickets = req.sends.relay_tickets();
     let tickets = tickets.ok_or_else(|| refusal(BUDGET_SPENT))?;
-    let before = req.may_have_run.replace(true);
+    req.begin_run();
     let sent = send(cx, req, attempts, tickets, last_event).await;
     sent.map_err(|error| {
-        req.may_have_run.set(before || error.may_have_run());
+        if !error.may_have_run() {
+            req.record_not_run();
+        }
         match error {
             TIMED_OUT => Verdict::timed_out(),
             _ => refusal(error.reason()),
--- a/crates/gateway/src/replacement.rs
+++ b/crates/gateway/src/replacement.rs
@@ -101,8 +101,6 @@
             match event {
                 Event::Run(Err(error)) if !successors.servers().is_empty() => {
                     run.set(None.into());
-                    // The successor may run it, whatever the failed engine says of itself.
-                    self.req().may_have_run.set(true);
                     failed = Some(error);
                 }
                 Event::Run(made) => {
