--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -193,7 +193,7 @@
     pub request_id: Option<SmolStr>,
     /// Whether the server reports that it did not run the request.
     pub is_not_run: bool,
-    /// Whether the answer is from another server, which has the address now.
+    /// Whether the answer is from another server, which has the address now and did not run the request.
     pub is_other_server: bool,
     /// Whether the server signed the answer.
     pub is_signed: bool,
