An informational answer of a server is not forwarded as final

hyper skips informational answers except 101, which it returns. One that named the request was forwarded.

Callers saw 101 Switching Protocols without having asked for it, and no final answer after it.

Evidence: attributed_answers.rs, an_informational_answer_of_a_server_is_not_forwarded got 101 before, and gets 502 now.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -309,6 +309,12 @@
             attribution::log_foreign(cx, server, self.status, head, self.request_id.as_ref());
             return Err(error);
         }
+        if self.status.is_informational() {
+            cx.record_outcome(server, CallOutcome::Broken);
+            return Err(SendError::Lost(
+                "informational answer in place of a final one",
+            ));
+        }
         if let Some(load) = head.load {
             shared_loads::record(cx, server, load);
         }
