A stream that was passed on leaves an instance that hangs before its answer

A request that may be resumed and was passed on to an instance that then hung (SIGSTOP, its connections stay open) waited for the head of the answer until the caller's deadline; callers leave before that.

How long an instance may be silent before the head is not known: it may wait for room and for a prefill. So it is given up only if, after 1.5 latency targets, its reports have stopped or say that it is not ready. The run counts against the route's attempts, the next one is taken from the retry budget, and the instance is not used for a second, as after a broken connection. Requests that may not run again, and plain services, wait as before.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -27,7 +27,7 @@
 use crate::prefill::{PrefillProgress, Prefills};
 use crate::quarantine;
 use crate::reach;
-use crate::relay;
+use crate::relay::{self, RelayedAnswer, SILENT_INSTANCE};
 use crate::replacement::Progress;
 use crate::reservation::{KvCache, Reservation};
 use crate::sends::{BUDGET_SPENT, SendTicket};
@@ -227,10 +227,9 @@
     }
 
     /// Passes the request on to another instance.
-    async fn pass_on(self) -> Result<Response<AnswerBody>, Verdict> {
+    async fn pass_on(mut self) -> Result<Response<AnswerBody>, Verdict> {
         relay::withdraw(&self.cx, &self.req);
-        let attempts = self.req.route.max_attempts;
-        let answer = relay::send_generation(&self.cx, &self.req, attempts, None).await?;
+        let answer = self.send_elsewhere(None).await?;
         let (status, headers) = (answer.status, answer.headers.clone());
         let body = if status.is_success() {
             self.stream(StreamRun::Relayed(Box::new(answer))).await?
@@ -241,6 +240,22 @@
         Ok(response(status, headers, body))
     }
 
+    /// Passes the request on, to go on after `last_event`, until an instance answers it or the route allows
+    /// no further run.
+    async fn send_elsewhere(&mut self, last_event: Option<u64>) -> Result<RelayedAnswer, Verdict> {
+        loop {
+            let attempts = self.req.route.max_attempts.max(1) - self.possible_runs;
+            let (cx, req, may_give_up) = (&self.cx, &self.req, self.may_replace_run());
+            let sent = relay::send_generation(cx, req, attempts, last_event, may_give_up).await;
+            match sent {
+                Err(verdict) if may_give_up && verdict.reason() == SILENT_INSTANCE.reason() => {
+                    self.record_lost_run();
+                }
+                sent => return sent,
+            }
+        }
+    }
+
     /// Forwards the events of a run, once the first has arrived.
     async fn stream(self, run: StreamRun) -> Result<AnswerBody, Verdict> {
         let forwarder = StreamForwarder::start(self, run).await?;
@@ -258,9 +273,8 @@
         may_pass_on: bool,
     ) -> Result<StreamRun, Verdict> {
         if may_pass_on && relay::is_possible(&self.cx, &self.req) {
-            let attempts = self.req.route.max_attempts.max(1) - self.possible_runs;
-            let sent = relay::send_generation(&self.cx, &self.req, attempts, last_event);
-            return Ok(StreamRun::Relayed(Box::new(sent.await?)));
+            let answer = self.send_elsewhere(last_event).await?;
+            return Ok(StreamRun::Relayed(Box::new(answer)));
         }
         let has_begun = last_event.is_some() || self.is_taken_up();
         if has_begun && self.version.is_none() {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -395,7 +395,7 @@
     tickets: Vec<SendTicket>,
 ) -> Result<FullResponse, SendError> {
     let previous = req.may_have_run.replace(true);
-    let answer = relay::send(cx, req, attempts, tickets, None)
+    let answer = relay::send(cx, req, attempts, tickets, None, false)
         .await
         .inspect_err(|error| {
             if !error.may_have_run() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use hyper::body::Incoming;
 use jacinthlever_routing::{HoldingUse, RouteKind};
 use smol_str::SmolStr;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::EventCode;
 use crate::answer::{OUT_OF_REACH, Verdict};
@@ -48,6 +49,16 @@
 /// Maximum number of idle connections to one instance.
 const MAX_IDLE: usize = 8;
 
+/// Multiple of the latency target for which the head of a relayed stream is waited for whatever becomes of
+/// the instance: one that is stopping is not ready, but still answers.
+const HEAD_TARGETS: f64 = 1.5;
+
+/// Interval at which it is then checked that the instance is ready.
+const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The instance to which the request was passed on sent nothing for too long.
+pub const SILENT_INSTANCE: SendError = SendError::Lost("instance is silent");
+
 /// No other instance is known that reaches servers of the service.
 pub const NO_RELAY: SendError = SendError::Unsent(OUT_OF_REACH);
 
@@ -145,16 +156,19 @@
 
 /// Sends a request to another instance and waits for the head of its answer; one that is `safe` is
 /// sent to a further instance if that one fails. `attempts` is the number of servers that may run it,
-/// `tickets` are those for the first instance. A stream goes on after `last_event`, if that is given.
+/// `tickets` are those for the first instance. A stream goes on after `last_event`, if that is given. With
+/// `may_give_up`, an instance that has not answered and is no longer ready is given up.
 ///
 /// # Errors
-/// Returns an error that says whether a backend server may have run the request.
+/// Returns an error that says whether a backend server may have run the request; [`SILENT_INSTANCE`] if the
+/// instance was given up.
 pub async fn send(
     cx: &Rc<Context>,
     req: &Rc<CallerRequest>,
     mut attempts: u32,
     tickets: Vec<SendTicket>,
     last_event: Option<u64>,
+    may_give_up: bool,
 ) -> Result<RelayedAnswer, SendError> {
     let is_repeatable = req.route.kind == RouteKind::Safe;
     let mut tried = Vec::new();
@@ -173,7 +187,7 @@
             false => attempts,
         };
         tickets.iter().for_each(SendTicket::record_use);
-        match send_to(cx, req, &address, granted, last_event).await {
+        match send_to(cx, req, &address, granted, last_event, may_give_up).await {
             // An instance that refuses knows nothing of what another one has sent before.
             Ok(answer) if last.may_have_run() && !answer.is_from_server() => return Err(last),
             Ok(answer) => return Ok(answer),
@@ -182,7 +196,7 @@
                     tickets.iter().for_each(SendTicket::undo_use);
                 }
                 log_failure(cx, req, &address, error);
-                if matches!(error, SendError::Unsent(_)) {
+                if matches!(error, SendError::Unsent(_)) || error == SILENT_INSTANCE {
                     cx.relays.avoid(cx.now(), &address);
                 }
                 if error.may_have_run() {
@@ -202,7 +216,7 @@
 }
 
 /// Passes a generation on, which up to `attempts` servers may run, and returns the head of the answer. A
-/// stream that has begun goes on after `last_event`.
+/// stream that has begun goes on after `last_event`. `may_give_up` is that of [`send`].
 ///
 /// # Errors
 /// Returns a verdict that says whether the request may have run.
@@ -211,6 +225,7 @@
     req: &Rc<CallerRequest>,
     attempts: u32,
     last_event: Option<u64>,
+    may_give_up: bool,
 ) -> Result<RelayedAnswer, Verdict> {
     let refusal = |reason| match req.may_have_run.get() {
         true => Verdict::lost(reason),
@@ -219,7 +234,7 @@
     let tickets = req.sends.relay_tickets();
     let tickets = tickets.ok_or_else(|| refusal(BUDGET_SPENT))?;
     let before = req.may_have_run.replace(true);
-    let sent = send(cx, req, attempts, tickets, last_event).await;
+    let sent = send(cx, req, attempts, tickets, last_event, may_give_up).await;
     sent.map_err(|error| {
         req.may_have_run.set(before || error.may_have_run());
         match error {
@@ -255,6 +270,7 @@
     address: &SmolStr,
     attempts: u32,
     last_event: Option<u64>,
+    may_give_up: bool,
 ) -> Result<RelayedAnswer, SendError> {
     let now = cx.now();
     let left = req.time_left(now);
@@ -264,7 +280,18 @@
     };
     log_send(cx, req, address, left);
     let exchange = exchange(cx, req, address, attempts, last_event);
-    let (response, connection) = timeout(within, exchange).await.unwrap_or(Err(TIMED_OUT))?;
+    let given_up = async {
+        match may_give_up {
+            true => wait_until_lost(cx, req, address).await,
+            false => pending().await,
+        }
+    };
+    let sent = tokio::select! {
+        biased;
+        sent = timeout(within, exchange) => sent.unwrap_or(Err(TIMED_OUT)),
+        () = given_up => Err(SILENT_INSTANCE),
+    };
+    let (response, connection) = sent?;
     let (parts, body) = response.into_parts();
     let head = (cx.adapter.servers.decode_head)(parts.status, &parts.headers);
     attribution::check(&head, Some(&req.headers.request_id))?;
@@ -289,6 +316,14 @@
     Ok(answer)
 }
 
+/// Waits until an instance to which a stream was passed on should have answered, and is not ready.
+async fn wait_until_lost(cx: &Context, req: &CallerRequest, address: &SmolStr) {
+    sleep(req.route.target_latency.mul_f64(HEAD_TARGETS)).await;
+    while cx.state.borrow().members.is_ready_at(cx.now(), address) {
+        sleep(HEAD_CHECK_INTERVAL).await;
+    }
+}
+
 async fn exchange(
     cx: &Context,
     req: &CallerRequest,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use crate::exchange::{SendError, TIMED_OUT, log_send_failure};
 use crate::generation::Generation;
 use crate::quarantine;
-use crate::relay;
+use crate::relay::{self, SILENT_INSTANCE};
 use crate::replacement::Progress;
 use crate::stream_record::StreamRecord;
 use crate::stream_run::{RunSource, StreamRun};
@@ -35,9 +35,6 @@
 /// for another one.
 const INSTANCE_TIMEOUT_FACTOR: f64 = 1.75;
 
-/// The instance to which the request was passed on sent no event for too long.
-const SILENT_INSTANCE: SendError = SendError::Lost("instance is silent");
-
 /// The engine sent no event for too long.
 pub const SILENT_ENGINE: SendError = SendError::Lost("engine is silent");
 
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -345,6 +345,13 @@
         relays
     }
 
+    /// Whether the instance with an address for messages is ready, as far as is known.
+    pub fn is_ready_at(&self, now: Duration, peer_address: &str) -> bool {
+        let relays = self.relays(now, "");
+        let mut known = relays.preferred.iter().chain(&relays.others);
+        known.any(|address| address == peer_address)
+    }
+
     fn ready_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         let local = self.peers.values();
         local
