An instance that hangs is given up only if another one is known

An instance that is itself cut off from the messages of all others takes them for not ready. It would have given up a request that was passed on and late, and then refused it, since no other instance was left to pass it on to. Found by reading. The number of runs left is no longer computed with a plain subtraction, which more possible runs than attempts would have made wrap.

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -244,7 +244,8 @@
     /// no further run.
     async fn send_elsewhere(&mut self, last_event: Option<u64>) -> Result<RelayedAnswer, Verdict> {
         loop {
-            let attempts = self.req.route.max_attempts.max(1) - self.possible_runs;
+            let max_attempts = self.req.route.max_attempts;
+            let attempts = max_attempts.saturating_sub(self.possible_runs).max(1);
             let (cx, req, may_give_up) = (&self.cx, &self.req, self.may_replace_run());
             let sent = relay::send_generation(cx, req, attempts, last_event, may_give_up).await;
             match sent {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::future::pending;
 use std::rc::Rc;
+use std::slice::from_ref;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -316,10 +317,12 @@
     Ok(answer)
 }
 
-/// Waits until an instance to which a stream was passed on should have answered, and is not ready.
+/// Waits until an instance to which a stream was passed on should have answered, is not ready, and another
+/// one is known.
 async fn wait_until_lost(cx: &Context, req: &CallerRequest, address: &SmolStr) {
     sleep(req.route.target_latency.mul_f64(HEAD_TARGETS)).await;
-    while cx.state.borrow().members.is_ready_at(cx.now(), address) {
+    let is_ready = || cx.state.borrow().members.is_ready_at(cx.now(), address);
+    while is_ready() || pick(cx, req, from_ref(address)).is_none() {
         sleep(HEAD_CHECK_INTERVAL).await;
     }
 }
