An answer without a body by its status is complete

A first answer to a stream request with status 204 has neither length nor chunks, so that it counted as broken off before its first event since. As part of a stream that has begun it is still not used.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -255,7 +255,7 @@
         let exchange = Self {
             status: parts.status,
             idle_timeout: idle_timeout(&parts.headers),
-            is_delimited: is_delimited(&parts.headers),
+            is_delimited: is_delimited(parts.status, &parts.headers),
             headers: forwardable_headers(parts.headers),
             server,
             deadline: started + within,
@@ -593,9 +593,11 @@
     Some(Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
 }
 
-/// Whether the body of an answer has a length or chunks, so that its end is known.
-pub fn is_delimited(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+/// Whether the body of an answer has a length or chunks, or the answer has none, so that its end is known.
+pub fn is_delimited(status: StatusCode, headers: &HeaderMap) -> bool {
+    status == StatusCode::NO_CONTENT
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
 /// Returns the headers of an answer that may be forwarded to a caller.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -306,7 +306,7 @@
         address: address.clone(),
         status: parts.status,
         idle_timeout: idle_timeout(&parts.headers),
-        is_delimited: is_delimited(&parts.headers),
+        is_delimited: is_delimited(parts.status, &parts.headers),
         headers: forwardable_headers(parts.headers),
         body,
         connection: Some(connection),
