--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -397,7 +397,7 @@
     tickets: Vec<SendTicket>,
 ) -> Result<FullResponse, SendError> {
     req.begin_run();
-    let answer = relay::send(cx, req, attempts, tickets, None)
+    let answer = relay::send(cx, req, attempts, tickets, None, false)
         .await
         .inspect_err(|error| {
             if !error.may_have_run() {
