Events split off a chunk keep no memory for those that follow

A stream was split by Vec::split_off: the event kept the buffer of the whole chunk, and the rest was copied once more for each event. Memory and time rose with the square of a chunk. A server that sends tiny events, such as blank lines, could use up the memory of an instance with one answer, also while `max_memory_mb` is set: 1 GB for a chunk of 64 KiB. All other requests of the instance would have ended with it.

Events are copied out of the chunk, and the buffer for an incomplete event shrinks after a large one.

--- a/crates/routing/src/event_stream.rs
+++ b/crates/routing/src/event_stream.rs
@@ -1,10 +1,11 @@
 //! Splits a stream of server-sent events into complete events.
 
-use std::mem;
-
 /// Maximum size of an event; a larger one is treated as a fault of the backend server.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Space beyond the incomplete event that is kept for the next chunk, in bytes.
+const SPARE_BYTES: usize = 64 * 1024;
+
 /// A complete event, including the blank line at its end.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StreamEvent {
@@ -28,19 +29,27 @@
         let mut scanned = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(chunk);
         let mut events = Vec::new();
+        let mut start = 0;
         while let Some(end) = end_of_event(&self.partial, scanned) {
-            let rest = self.partial.split_off(end);
-            let bytes = mem::replace(&mut self.partial, rest);
+            let bytes = self.partial[start..end].to_vec();
             if !is_event(&bytes) {
                 return None;
             }
             let id = id_of(&bytes);
             events.push(StreamEvent { bytes, id });
-            scanned = 0;
+            start = end;
+            scanned = end;
         }
+        self.partial.drain(..start);
+        self.partial.shrink_to(SPARE_BYTES);
         (self.partial.len() <= MAX_EVENT_BYTES).then_some(events)
     }
 
+    /// Returns the number of bytes that are allocated for an incomplete event.
+    pub fn held_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Whether the data received so far ends within an event.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/routing/tests/streams.rs
+++ b/crates/routing/tests/streams.rs
@@ -36,6 +36,17 @@
     assert!(splitter.push(&chunk).is_none());
 }
 
+// Guards against tiny events that each keep memory for all that follow them, with which a server used up
+// the memory of the machine.
+#[test]
+fn tiny_events_take_memory_in_proportion_to_their_bytes() {
+    let chunk = vec![b'\n'; 16 * 1024];
+    let events = EventSplitter::default().push(&chunk).unwrap_or_default();
+    assert_eq!(events.len(), chunk.len() / 2);
+    let capacity: usize = events.iter().map(|event| event.bytes.capacity()).sum();
+    assert!(capacity <= 4 * chunk.len(), "{capacity} bytes");
+}
+
 // Guards against bytes with blank lines that are forwarded as events.
 #[test]
 fn a_line_that_is_no_field_is_refused() {
