Bound what one connection has read before other tasks run, and before a head

hyper skips informational answers and digits of a chunk size without a limit, and a runtime limits the number of reads in a row, not their size. A server that sends them as fast as it can kept the only thread of an instance busy: up to 128 reads of 400 KiB were parsed at a time. Callers of other services were refused, since the store was not called in time either, or waited for seconds.

A connection reads 64 KiB at most before its task is polled again after others, on the side of callers too. 256 KiB may arrive up to the head of an answer. The buffer of a connection has 64 KiB at most, whatever the settings say of the memory.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::memory_lease::MemoryLease;
+use crate::read_turns::ReadTurns;
 
 /// Maximum size of a read while memory is saved, in bytes. hyper doubles its buffer of 8 KiB after each
 /// read that fills it.
@@ -129,6 +130,7 @@
     stream: TcpStream,
     monitor: Rc<ActivityMonitor>,
     has_small_reads: bool,
+    turns: ReadTurns,
 }
 
 impl MonitoredStream {
@@ -138,6 +140,7 @@
             stream,
             monitor,
             has_small_reads: false,
+            turns: ReadTurns::default(),
         }
     }
 
@@ -175,12 +178,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.turns.poll_turn(cx));
         let before = buf.filled().len();
         let polled = match self.has_small_reads {
             false => Pin::new(&mut self.stream).poll_read(cx, buf),
             true => self.poll_small_read(cx, buf),
         };
-        if buf.filled().len() > before {
+        let bytes = buf.filled().len() - before;
+        self.turns.record(&polled, bytes);
+        if bytes > 0 {
             self.monitor.bytes_received();
         }
         polled
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -16,6 +17,7 @@
 use crate::context::Context;
 use crate::exchange::{NO_CONNECTION, SendError};
 use crate::held_body::HeldBody;
+use crate::server_stream::{HeadProgress, ServerStream};
 
 /// Body of requests sent on a connection.
 pub type RequestBody = HeldBody;
@@ -35,8 +37,7 @@
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 32;
 
-/// Size of the buffer of a connection while memory is bounded, in bytes; hyper's own bound is 400 KiB.
-/// The head of an answer has to fit.
+/// Maximum size of the buffer of a connection, in bytes. The head of an answer has to fit.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 struct IdleConnection {
@@ -54,6 +55,7 @@
 pub struct Connection {
     /// Handle that sends a request on the connection.
     sender: SendRequest<RequestBody>,
+    progress: Rc<HeadProgress>,
     /// Number of the connection in this process, for the log.
     pub number: u64,
     /// Number of calls that were sent on the connection.
@@ -66,13 +68,13 @@
     /// # Errors
     /// Fails if the connection cannot be established within [`CONNECT_TIMEOUT`].
     pub async fn open(cx: &Context, address: &str) -> Result<Self, SendError> {
-        let max_buffer = cx.memory.is_active().then_some(MAX_BUFFER_BYTES);
-        let sender = connect(address, max_buffer).await;
-        let sender = sender.map_err(|_| NO_CONNECTION)?;
+        let opened = connect(address).await;
+        let (sender, progress) = opened.map_err(|_| NO_CONNECTION)?;
         let number = cx.connections_opened.get() + 1;
         cx.connections_opened.set(number);
         Ok(Self {
             sender,
+            progress,
             number,
             calls: 0,
         })
@@ -92,7 +94,9 @@
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
         self.calls += 1;
+        self.progress.begin();
         let sent = self.sender.try_send_request(request).await;
+        self.progress.end();
         // A message that is returned with the error has not been written to the connection.
         sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::Unsent("connection closed at once"),
@@ -168,29 +172,25 @@
     }
 }
 
-/// Opens a connection to an address, with a buffer of up to `max_buffer` bytes or of hyper's default size.
+/// Opens a connection to an address. The progress of each call on it has to be recorded.
 ///
 /// # Errors
 /// Fails if the connection cannot be established within [`CONNECT_TIMEOUT`].
-pub async fn connect(
-    address: &str,
-    max_buffer: Option<usize>,
-) -> io::Result<SendRequest<RequestBody>> {
+pub async fn connect(address: &str) -> io::Result<(SendRequest<RequestBody>, Rc<HeadProgress>)> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    let progress = Rc::new(HeadProgress::default());
+    let io = TokioIo::new(ServerStream::new(stream, progress.clone()));
     let mut client = http1::Builder::new();
-    if let Some(bytes) = max_buffer {
-        client.max_buf_size(bytes);
-    }
-    let handshake = client.handshake(TokioIo::new(stream));
+    let handshake = client.max_buf_size(MAX_BUFFER_BYTES).handshake(io);
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to a backend server or the store ended with an error: {error}");
         }
     });
-    Ok(sender)
+    Ok((sender, progress))
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -14,6 +14,7 @@
 
 use crate::connection_pool::{RequestBody, connect};
 use crate::context::Context;
+use crate::server_stream::HeadProgress;
 use crate::store_version;
 use crate::{EventCode, RowWrite, Rows, StoreRequest, Table, WatchResult};
 
@@ -75,12 +76,14 @@
     Conflict,
 }
 
+type StoreConnection = (SendRequest<RequestBody>, Rc<HeadProgress>);
+
 /// Store client of one purpose, such as the renewal of the registration.
 pub struct StoreClient {
     cx: Rc<Context>,
     /// Name of the purpose in logs and metrics.
     duty: &'static str,
-    connection: Option<SendRequest<RequestBody>>,
+    connection: Option<StoreConnection>,
     /// Time limit until an answer begins; see [`PROGRESS_TIMEOUT`].
     patience: Duration,
     /// When the present call was sent.
@@ -269,14 +272,14 @@
         call: StoreRequest,
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let (response, sender) = timeout(wait + self.patience, self.send(call))
+        let (response, connection) = timeout(wait + self.patience, self.send(call))
             .await
             .unwrap_or(Err(StoreError::Unanswered))?;
         let status = response.status();
         let era = (self.cx.adapter.store.era)(response.headers());
         self.record_era(era)?;
         let bytes = self.receive_body(response.into_body()).await?;
-        self.connection = Some(sender);
+        self.connection = Some(connection);
         Ok((status, bytes))
     }
 
@@ -310,12 +313,12 @@
     async fn send(
         &mut self,
         call: StoreRequest,
-    ) -> Result<(Response<Incoming>, SendRequest<RequestBody>), StoreError> {
+    ) -> Result<(Response<Incoming>, StoreConnection), StoreError> {
         let address = self.cx.settings().store.address.to_string();
-        let idle = self.connection.take().filter(|c| !c.is_closed());
-        let mut sender = match idle {
-            Some(sender) => sender,
-            None => connect(&address, None)
+        let idle = self.connection.take().filter(|(c, _)| !c.is_closed());
+        let (mut sender, progress) = match idle {
+            Some(connection) => connection,
+            None => connect(&address)
                 .await
                 .map_err(|_| StoreError::Unreachable)?,
         };
@@ -326,9 +329,11 @@
             .body(Bytes::from(call.body).into())
             .map_err(|error| StoreError::Unreadable(error.to_string()))?;
         sender.ready().await.map_err(|_| StoreError::Unreachable)?;
+        progress.begin();
         let response = sender.send_request(request).await;
+        progress.end();
         let response = response.map_err(|_| StoreError::Unanswered)?;
-        Ok((response, sender))
+        Ok((response, (sender, progress)))
     }
 
     async fn receive_body(&mut self, mut body: Incoming) -> Result<Bytes, StoreError> {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -58,7 +58,7 @@
     let answered_for = run.answer_began_at.map(|at| ended_at.saturating_sub(at));
     tokio::task::spawn_local(async move {
         sleep(CHECK_DELAY).await;
-        if connect(&entry.address, None).await.is_ok() {
+        if connect(&entry.address).await.is_ok() {
             return;
         }
         // Without a way to any server, this instance cannot tell that one has ended.
