Bound what an instance holds also where the settings do not state the memory

Without `max_memory_mb` each body and answer had a limit, and nothing bounded their sum. Bodies were kept as the chunks in which they were read, with a part of a read buffer for each.

The budget always holds. Where the settings do not state the memory, the lowest limit of the process's control groups, of RLIMIT_AS and of RLIMIT_DATA counts, and without any a quarter of the machine's memory; JL1001 says which one and how much. Connections that are closed after a refused body, small socket buffers and the time limit for the end of an idle connection follow the budget and no longer a setting.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -24,7 +24,6 @@
 use crate::caller_request::CallerRequest;
 use crate::connection::{ActivityMonitor, MonitoredStream, TimeoutKind};
 use crate::context::Context;
-use crate::memory_budget::BYTES_PER_MB;
 use crate::relay::{RelayTerms, UNREACHED_HEADER};
 use crate::socket_buffers::SocketBuffers;
 use crate::{CallerHeaders, EventCode, generation, plain};
@@ -90,12 +89,9 @@
                 continue;
             }
         };
-        let mut saves_memory = false;
-        if let Some(mb) = cx.settings().max_memory_mb {
-            let share = sender.descriptor_share() / (CALLER_SHARE + RELAY_SHARE);
-            let buffers = SocketBuffers::new(mb.saturating_mul(BYTES_PER_MB), share, max_open);
-            saves_memory = buffers.apply(&stream, open.get());
-        }
+        let share = sender.descriptor_share() / (CALLER_SHARE + RELAY_SHARE);
+        let buffers = SocketBuffers::new(cx.memory_limit().bytes, share, max_open);
+        let saves_memory = buffers.apply(&stream, open.get());
         open.set(open.get() + 1);
         let (cx, open) = (cx.clone(), open.clone());
         tokio::task::spawn_local(async move {
@@ -128,8 +124,10 @@
             });
             let monitor = ActivityMonitor::start();
             let io = TokioIo::new(MonitoredStream::new(stream, monitor.clone()));
-            let connection = http1::Builder::new().serve_connection(io, service);
             let limits = CallerLimits::default();
+            let connection = http1::Builder::new()
+                .max_buf_size(limits.header_bytes)
+                .serve_connection(io, service);
             tokio::select! {
                 served = connection => log::trace!(
                     "connection to {address} ended without an error: {}",
@@ -209,22 +207,13 @@
                     return;
                 }
                 TimeoutKind::Shed => return,
-                TimeoutKind::Idle if cx.memory.is_active() => {
+                TimeoutKind::Idle => {
                     // A caller that does not read the end of an answer would keep the connection.
                     connection.as_mut().graceful_shutdown();
                     let ended = timeout(limits.header_timeout, connection.as_mut()).await;
                     log::trace!("idle connection of a caller closed in time: {}", ended.is_ok());
                     return;
                 }
-                TimeoutKind::Idle => {
-                    connection.as_mut().graceful_shutdown();
-                    let served = connection.as_mut().await;
-                    log::trace!(
-                        "idle connection of a caller closed without an error: {}",
-                        served.is_ok()
-                    );
-                    return;
-                }
             }
         }
     }
@@ -288,8 +277,7 @@
     let in_flight = InFlightGuard::begin(cx, request_id.clone());
     let result = admit_and_answer(cx, req, headers, arrived, sender).await;
     let verdict = result.as_ref().err();
-    let leaves_body_unread =
-        cx.memory.is_active() && verdict.is_some_and(Verdict::leaves_body_unread);
+    let leaves_body_unread = verdict.is_some_and(Verdict::leaves_body_unread);
     let mut response = match result {
         Ok(response) => response,
         Err(verdict) => {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{CallOutcome, ServerKey};
+use jacinthlever_routing::{CallOutcome, MemoryLimit, ServerKey, SystemMemory};
 use serde_json::Value;
 use tokio::sync::{Notify, watch};
 
@@ -17,6 +17,7 @@
 use crate::state::State;
 use crate::stream_origins::OriginCalls;
 use crate::stream_records::RecordReader;
+use crate::system_memory;
 use crate::version_notes::ListReader;
 use crate::zone_news::ZoneNews;
 use crate::{Adapter, Clock, EventCode, EventLog, Settings, metrics::Metrics};
@@ -25,6 +26,9 @@
 /// start time, so the numbers of two processes at the same address differ.
 const CALL_NUMBER_BITS: u32 = 20;
 
+/// Bytes in a megabyte of the setting `max_memory_mb`.
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// Shared context of a running instance. All its tasks run on one thread; only the event log has a
 /// thread of its own.
 pub struct Context {
@@ -48,6 +52,8 @@
     pub event_log: EventLog,
     /// Budget for the bytes that are held for callers, instances and servers.
     pub memory: Rc<MemoryBudget>,
+    /// What the operating system said of the memory when the process started.
+    system_memory: SystemMemory,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Digests of other zones that this instance has received.
@@ -121,6 +127,7 @@
             capacity_queue: CapacityQueue::default(),
             event_log: EventLog::spawn(clock)?,
             memory: MemoryBudget::new(clock),
+            system_memory: system_memory::read(),
             metrics: Metrics::open()?,
             received_digests: RefCell::default(),
             permits: Permits::new(incarnation << CALL_NUMBER_BITS, phase),
@@ -157,15 +164,19 @@
         self.settings.borrow().clone()
     }
 
-    /// Applies the settings and the configuration in force to the memory budget; returns whether there is
-    /// one.
-    pub fn refresh_memory_budget(&self) -> bool {
-        let memory_mb = self.settings.borrow().max_memory_mb;
+    /// Returns the memory that the process may use.
+    pub fn memory_limit(&self) -> MemoryLimit {
+        let stated = self.settings.borrow().max_memory_mb;
+        let stated = stated.map(|mb| (mb as u64).saturating_mul(BYTES_PER_MB));
+        self.system_memory.limit(stated)
+    }
+
+    /// Applies the settings and the configuration in force to the memory budget.
+    pub fn refresh_memory_budget(&self) {
         let state = self.state.borrow();
         let limits = state.config.as_ref().map(|config| config.limits);
-        self.memory
-            .configure(memory_mb, limits.unwrap_or_default().body_bytes);
-        memory_mb.is_some()
+        let body_bytes = limits.unwrap_or_default().body_bytes;
+        self.memory.configure(self.memory_limit().bytes, body_bytes);
     }
 
     /// Logs an event with its fields.
--- a/crates/gateway/src/held_body.rs
+++ b/crates/gateway/src/held_body.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use jacinthlever_routing::HoldingUse;
 
@@ -33,7 +33,7 @@
     NoMemory,
 }
 
-/// A complete body. It counts against the memory budget, if there is one, until all clones are dropped.
+/// A complete body. If it was received, it counts against the memory budget until all clones are dropped.
 #[derive(Clone)]
 pub struct HeldBody {
     bytes: Rc<HeldBytes>,
@@ -49,21 +49,14 @@
     ///
     /// # Errors
     /// Fails if the body is too long, breaks off or is shed. One whose announced length is too long is not
-    /// read at all while the budget is active.
+    /// read at all.
     pub async fn read(
         cx: &Context,
         body: &mut Incoming,
         max: usize,
         usage: HoldingUse,
     ) -> Result<Self, ReadError> {
-        if !cx.refresh_memory_budget() {
-            let collected = Limited::new(body, max).collect().await;
-            return match collected {
-                Ok(body) => Ok(body.to_bytes().into()),
-                Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLong),
-                Err(_) => Err(ReadError::Broken),
-            };
-        }
+        cx.refresh_memory_budget();
         let announced = body.size_hint().exact().map(|length| length as usize);
         if announced.is_some_and(|length| length > max) {
             return Err(ReadError::TooLong);
@@ -142,7 +135,7 @@
         self
     }
 
-    /// Returns the memory that the body holds; `None` without a budget.
+    /// Returns the memory that the body holds; `None` if it does not count against the budget.
     pub fn lease(&self) -> Option<Rc<MemoryLease>> {
         self.lease.clone()
     }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -54,6 +54,7 @@
     async fn serve(self) -> io::Result<()> {
         let Self { cx, settings_path } = self;
         let settings = cx.settings();
+        let memory = cx.memory_limit();
         cx.log(
             EventCode::Started,
             [
@@ -61,6 +62,8 @@
                 ("zone", settings.zone.as_str().into()),
                 ("incarnation", cx.incarnation.into()),
                 ("first_start", settings.is_first_start.into()),
+                ("memory_bytes", memory.bytes.into()),
+                ("memory_from", memory.source.name().into()),
             ],
         );
         let listen = &settings.listen;
@@ -144,9 +147,7 @@
 
 /// Records what is held, and logs a shortage of memory.
 fn report_memory(cx: &Context) {
-    if !cx.refresh_memory_budget() {
-        return;
-    }
+    cx.refresh_memory_budget();
     cx.metrics.record_held_bytes(cx.memory.held());
     if let Some(refused) = cx.memory.take_report() {
         cx.metrics.count_memory_refusals(refused);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,6 +65,7 @@
 mod stream_run;
 mod successors;
 mod suspects;
+mod system_memory;
 mod table_sync;
 mod table_updates;
 mod version_notes;
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -14,17 +14,12 @@
 /// and what the allocator cannot give back.
 const BUDGET_PART: usize = 3;
 
-/// Bytes in a megabyte of the setting `max_memory_mb`.
-pub const BYTES_PER_MB: usize = 1_000_000;
-
 /// Shortest time between two reports of a shortage.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Budget of one instance. It is inactive, and costs nothing, unless the settings state the memory of the
-/// machine.
+/// Budget of one instance.
 pub struct MemoryBudget {
     clock: Clock,
-    is_active: Cell<bool>,
     ledger: RefCell<MemoryLedger>,
     held: RefCell<BTreeMap<HoldingId, Weak<HeldBytes>>>,
     /// Bodies and answers refused or shed since the last report.
@@ -33,11 +28,10 @@
 }
 
 impl MemoryBudget {
-    /// Creates an inactive budget.
+    /// Creates a budget that has to be configured.
     pub fn new(clock: Clock) -> Rc<Self> {
         Rc::new(Self {
             clock,
-            is_active: Cell::new(false),
             ledger: RefCell::default(),
             held: RefCell::default(),
             unreported: Cell::new(0),
@@ -45,20 +39,12 @@
         })
     }
 
-    /// Sets the memory of the machine, in megabytes, and the size of the largest legal body, in bytes. The
-    /// budget has room for two such bodies at least, so that one is served when there is no overload.
-    pub fn configure(&self, memory_mb: Option<usize>, body_bytes: usize) {
-        self.is_active.set(memory_mb.is_some());
-        if let Some(mb) = memory_mb {
-            let part = mb.saturating_mul(BYTES_PER_MB) / BUDGET_PART;
-            let capacity = part.max(body_bytes.saturating_mul(2));
-            self.ledger.borrow_mut().set_capacity(capacity);
-        }
-    }
-
-    /// Whether the settings state the memory of the machine.
-    pub fn is_active(&self) -> bool {
-        self.is_active.get()
+    /// Sets the memory that the process may use and the size of the largest legal body, in bytes. The budget
+    /// has room for two such bodies at least, so that one is served when there is no overload.
+    pub fn configure(&self, memory_bytes: u64, body_bytes: usize) {
+        let part = usize::try_from(memory_bytes).unwrap_or(usize::MAX) / BUDGET_PART;
+        let capacity = part.max(body_bytes.saturating_mul(2));
+        self.ledger.borrow_mut().set_capacity(capacity);
     }
 
     /// Returns the number of bytes held.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,7 +29,7 @@
     pub listen: Listen,
     /// Maximum number of file descriptors that the process may open.
     pub max_descriptors: usize,
-    /// Memory of the machine, in megabytes; without it there is no budget for what is held.
+    /// Memory of the machine, in megabytes; without it the limits of the process count.
     #[serde(default)]
     pub max_memory_mb: Option<usize>,
     /// Location of the platform's store.
--- a/crates/gateway/src/socket_buffers.rs
+++ b/crates/gateway/src/socket_buffers.rs
@@ -5,7 +5,7 @@
 
 /// Part of the machine's memory for bytes that were received and not read yet. As much again may be
 /// used for bytes that were sent and not acknowledged.
-const SYSTEM_PART: usize = 8;
+const SYSTEM_PART: u64 = 8;
 
 /// Bytes that the system accepts on a new connection before they are read.
 const USUAL_BYTES: usize = 64 * 1024;
@@ -23,9 +23,9 @@
 }
 
 impl SocketBuffers {
-    /// Divides a `share` of the system's part of a machine with `memory_bytes` between up to `max_open`
+    /// Divides a `share` of the system's part of `memory_bytes` between up to `max_open`
     /// connections.
-    pub fn new(memory_bytes: usize, share: f64, max_open: usize) -> Self {
+    pub fn new(memory_bytes: u64, share: f64, max_open: usize) -> Self {
         let part = ((memory_bytes / SYSTEM_PART) as f64 * share) as usize;
         Self {
             usual: part / USUAL_BYTES,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod forwarding;
 mod membership;
 mod memory_ledger;
+mod memory_limit;
 mod named_limit;
 mod output_estimates;
 mod over_limit;
@@ -57,6 +58,9 @@
     RelayCandidates, ReportOutcome, ZoneDigest, report_interval,
 };
 pub use memory_ledger::{HoldingId, HoldingUse, MemoryLedger, MemoryShortage, SMALL_BYTES};
+pub use memory_limit::{
+    MemoryLimit, MemorySource, SystemMemory, control_group_files, parse_control_group_limit,
+};
 pub use named_limit::{LimitChange, LimitStatement, NamedLimit};
 pub use output_estimates::OutputEstimates;
 pub use over_limit::OverLimit;
