Bound the pages of a table and the time of a slow body of the store

A table had as many pages as the store says, and a body of single bytes occupied the client of a duty for as long as it came, since the complete answer has no time limit.

A table has 16 MiB at most, a page has to begin after the one before, and a body has to bring 256 bytes in each 0.9 s.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::connection_pool::{RequestBody, connect};
 use crate::context::Context;
@@ -21,13 +21,20 @@
 /// Maximum size of an answer of the store, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum size of a table, in bytes of the answers with its pages.
+const MAX_TABLE_BYTES: usize = 4 * MAX_ANSWER_BYTES;
+
 /// Time limit until an answer begins, beyond the time for which the call asks the store to wait, and
-/// between two pieces of its body.
+/// for each [`MIN_PROGRESS_BYTES`] of its body.
 ///
 /// The complete answer has no time limit: the time that a large one takes depends on the link, and a
 /// call that is abandoned while bytes arrive has to start from zero.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Number of bytes of a body that count as progress. A store that sends single bytes would otherwise occupy
+/// a client for as long as it likes.
+const MIN_PROGRESS_BYTES: usize = 256;
+
 /// Error of a call to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreError {
@@ -41,7 +48,7 @@
     /// The answer is from the time before the store came back from a copy, or the store came back
     /// while it was read.
     Restored,
-    /// The answer is larger than [`MAX_ANSWER_BYTES`].
+    /// The answer is larger than [`MAX_ANSWER_BYTES`], or the table than [`MAX_TABLE_BYTES`].
     TooLarge,
     /// The store refused the call with this status; the call was not carried out.
     Refused(StatusCode),
@@ -59,7 +66,10 @@
             }
             Self::Restored => write!(f, "the store has come back from a copy meanwhile"),
             Self::TooLarge => {
-                write!(f, "answer of the store exceeds {MAX_ANSWER_BYTES} bytes")
+                write!(
+                    f,
+                    "answer of the store exceeds {MAX_ANSWER_BYTES} bytes, or a table {MAX_TABLE_BYTES}"
+                )
             }
             Self::Refused(status) => write!(f, "store refused the call with status {status}"),
             Self::Unreadable(cause) => write!(f, "answer of the store cannot be decoded: {cause}"),
@@ -133,11 +143,24 @@
         let mut all = Rows::default();
         let mut from = String::new();
         let mut era = None;
+        let mut received = 0;
         loop {
             let bytes = self
                 .call_ok((dialect.read)(table, &from), Duration::ZERO)
                 .await?;
+            received += bytes.len();
+            if received > MAX_TABLE_BYTES {
+                return Err(self.record_error(StoreError::TooLarge));
+            }
             let page = self.decode_rows(&bytes)?;
+            if page
+                .rows
+                .first()
+                .is_some_and(|first| first.key.as_str() < from.as_str())
+            {
+                let cause = format!("page from key {from} begins before it");
+                return Err(self.record_error(StoreError::Unreadable(cause)));
+            }
             if *era.get_or_insert(self.era) != self.era {
                 return Err(self.record_error(StoreError::Restored));
             }
@@ -338,8 +361,10 @@
 
     async fn receive_body(&mut self, mut body: Incoming) -> Result<Bytes, StoreError> {
         let mut bytes = BytesMut::new();
+        let mut progress_at = Instant::now();
+        let mut counted = 0;
         loop {
-            let frame = match timeout(PROGRESS_TIMEOUT, body.frame()).await {
+            let frame = match timeout_at(progress_at + PROGRESS_TIMEOUT, body.frame()).await {
                 Ok(None) => return Ok(bytes.freeze()),
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) | Err(_) => return Err(StoreError::Incomplete(self.received)),
@@ -351,6 +376,10 @@
             if self.received > MAX_ANSWER_BYTES {
                 return Err(StoreError::TooLarge);
             }
+            if self.received >= counted + MIN_PROGRESS_BYTES {
+                counted = self.received;
+                progress_at = Instant::now();
+            }
             bytes.extend_from_slice(&data);
         }
     }
