Count incomplete events against the memory budget, and receive none after the deadline

Each stream may hold an incomplete event of up to 256 KiB, which nothing counted. Events that are ready at once were received before a time limit was looked at, so a fast stream could go on after the caller's deadline; this is by reading, no test showed it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod freshness;
 mod generation;
 mod held_body;
+mod held_events;
 mod instance;
 mod memory_budget;
 mod memory_lease;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,13 +4,15 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use jacinthlever_routing::{EventSplitter, StreamEvent};
+use jacinthlever_routing::StreamEvent;
 use tokio::time::timeout;
 
 use crate::EventCode;
 use crate::answer::{ChunkStream, IncompleteBody, Verdict};
+use crate::context::Context;
 use crate::exchange::{SendError, TIMED_OUT, log_send_failure};
 use crate::generation::Generation;
+use crate::held_events::HeldEvents;
 use crate::quarantine;
 use crate::relay;
 use crate::replacement::Progress;
@@ -48,7 +50,7 @@
     generation: Generation,
     /// Run that produces the events; `None` while another one is being started.
     run: Option<StreamRun>,
-    events: EventSplitter,
+    events: HeldEvents,
     /// Complete events that have not been forwarded yet.
     ready: Option<Bytes>,
     last_event: Option<u64>,
@@ -73,7 +75,7 @@
             record: StreamRecord::start(generation.cx(), generation.req()),
             generation,
             run: Some(run),
-            events: EventSplitter::default(),
+            events: HeldEvents::default(),
             ready: None,
             last_event: None,
             has_event: false,
@@ -173,10 +175,15 @@
         let (source, last_event) = (run.source(), self.last_event);
         let generation = &mut self.generation;
         let left = generation.req().time_left(generation.cx().now());
-        let splitter = &mut self.events;
+        // Events that are ready at once would be received after any time limit.
+        if left.is_zero() {
+            return Progress::TimedOut;
+        }
+        let cx = generation.cx().clone();
+        let held = &mut self.events;
         // A run that fails is dropped: it must not continue in parallel with the next one.
         let events = async move {
-            let events = next_events(&mut run, splitter).await?;
+            let events = next_events(&cx, &mut run, held).await?;
             Ok((run, events))
         };
         if let RunSource::Engine { server, .. } = source
@@ -328,7 +335,7 @@
         self.generation.cx().log(EventCode::Resumed, fields);
         self.run = Some(run);
         self.record_source();
-        self.events = EventSplitter::default();
+        self.events = HeldEvents::default();
         self.run_began_at = None;
     }
 
@@ -347,18 +354,18 @@
 /// Returns the next complete events of a run; `None` at its end. Bytes that complete no event are no
 /// progress.
 async fn next_events(
+    cx: &Context,
     run: &mut StreamRun,
-    splitter: &mut EventSplitter,
+    held: &mut HeldEvents,
 ) -> Result<Events, SendError> {
     loop {
         let Some(chunk) = run.next_chunk().await else {
-            return match splitter.has_partial() {
+            return match held.has_partial() {
                 true => Err(BROKEN_OFF),
                 false => Ok(None),
             };
         };
-        let events = splitter.push(&chunk?);
-        let events = events.ok_or(SendError::Lost("malformed event"))?;
+        let events = held.push(cx, &chunk?)?;
         if !events.is_empty() {
             return Ok(Some(events));
         }
