Close a caller's connection whose framing of a body has no end

hyper bounds neither the digits of a chunk size nor the blanks after it. The instance read them until the time limit of the route, also after the caller had gone, and connections piled up to the limit of descriptors.

A body may take 8 bytes received for each of its maximum size, and 64 KiB besides.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -164,6 +164,7 @@
     let monitor = ActivityMonitor::start();
     let limits = connection_limits(&cx, sender);
     let mut stream = MonitoredStream::new(stream, monitor.clone());
+    stream.limit_body(limits.body_bytes);
     if saves_memory {
         stream.limit_reads();
     }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -19,6 +19,12 @@
 /// read that fills it.
 const SMALL_READ_BYTES: usize = 4 * 1024;
 
+/// Bytes that are received for each byte of a body in chunks of one byte, with a margin.
+const FRAMING_FACTOR: usize = 8;
+
+/// Bytes that are received for a body besides, such as chunk extensions and trailers.
+const FRAMING_BYTES: usize = 64 * 1024;
+
 /// State of a caller's connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
@@ -45,6 +51,8 @@
 pub struct ActivityMonitor {
     phase: Cell<Phase>,
     since: Cell<Instant>,
+    /// Bytes received in the present phase.
+    received: Cell<usize>,
     /// Memory of the answer that is being sent, also of the end that waits in the connection's buffer.
     answer: RefCell<Option<Rc<MemoryLease>>>,
 }
@@ -55,6 +63,7 @@
         Rc::new(Self {
             phase: Cell::new(Phase::Idle),
             since: Cell::new(Instant::now()),
+            received: Cell::new(0),
             answer: RefCell::default(),
         })
     }
@@ -88,12 +97,18 @@
     fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
+        self.received.set(0);
     }
 
-    fn bytes_received(&self) {
+    fn bytes_received(&self, bytes: usize) {
         if self.phase.get() == Phase::Idle {
             self.enter(Phase::Head);
         }
+        self.received.set(self.received.get().saturating_add(bytes));
+    }
+
+    fn has_received_beyond(&self, bytes: usize) -> bool {
+        self.phase.get() == Phase::Busy && self.received.get() > bytes
     }
 
     /// Waits until the connection exceeds its idle time-out or header time-out, or its answer is shed.
@@ -131,6 +146,8 @@
     monitor: Rc<ActivityMonitor>,
     has_small_reads: bool,
     turns: ReadTurns,
+    /// Maximum number of bytes received for the body of a request, with its framing.
+    max_received: usize,
 }
 
 impl MonitoredStream {
@@ -141,9 +158,18 @@
             monitor,
             has_small_reads: false,
             turns: ReadTurns::default(),
+            max_received: usize::MAX,
         }
     }
 
+    /// Closes the connection if a body of up to `body_bytes` cannot need what is received. hyper bounds neither
+    /// the digits of a chunk size nor the blanks after it.
+    pub fn limit_body(&mut self, body_bytes: usize) {
+        self.max_received = body_bytes
+            .saturating_mul(FRAMING_FACTOR)
+            .saturating_add(FRAMING_BYTES);
+    }
+
     /// Reads small pieces from now on, so that hyper does not grow its read buffer.
     pub fn limit_reads(&mut self) {
         self.has_small_reads = true;
@@ -178,6 +204,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.monitor.has_received_beyond(self.max_received) {
+            let error = "framing of a body without an end";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        }
         ready!(self.turns.poll_turn(cx));
         let before = buf.filled().len();
         let polled = match self.has_small_reads {
@@ -187,7 +217,7 @@
         let bytes = buf.filled().len() - before;
         self.turns.record(&polled, bytes);
         if bytes > 0 {
-            self.monitor.bytes_received();
+            self.monitor.bytes_received(bytes);
         }
         polled
     }
