--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -25,7 +25,6 @@
 use crate::caller_request::CallerRequest;
 use crate::connection::{ActivityMonitor, MonitoredStream, TimeoutKind};
 use crate::context::Context;
-use crate::memory_budget::BYTES_PER_MB;
 use crate::relay::{RelayTerms, UNREACHED_HEADER};
 use crate::socket_buffers::SocketBuffers;
 use crate::{CallerHeaders, EventCode, generation, plain};
@@ -101,12 +100,9 @@
                 continue;
             }
         };
-        let mut saves_memory = false;
-        if let Some(mb) = cx.settings().max_memory_mb {
-            let share = sender.descriptor_share() / (CALLER_SHARE + RELAY_SHARE);
-            let buffers = SocketBuffers::new(mb.saturating_mul(BYTES_PER_MB), share, max_open);
-            saves_memory = buffers.apply(&stream, open.get());
-        }
+        let share = sender.descriptor_share() / (CALLER_SHARE + RELAY_SHARE);
+        let buffers = SocketBuffers::new(cx.memory_limit().bytes, share, max_open);
+        let saves_memory = buffers.apply(&stream, open.get());
         open.set(open.get() + 1);
         let (cx, open) = (cx.clone(), open.clone());
         tokio::task::spawn_local(async move {
@@ -139,8 +135,10 @@
             });
             let monitor = ActivityMonitor::start(&Rc::default());
             let io = TokioIo::new(MonitoredStream::new(stream, monitor.clone()));
-            let connection = http1::Builder::new().serve_connection(io, service);
             let limits = CallerLimits::default();
+            let connection = http1::Builder::new()
+                .max_buf_size(limits.header_bytes)
+                .serve_connection(io, service);
             tokio::select! {
                 served = connection => log::trace!(
                     "connection to {address} ended without an error: {}",
@@ -177,6 +175,7 @@
     let monitor = ActivityMonitor::start(&cx.busy_connections);
     let limits = connection_limits(&cx, sender);
     let mut stream = MonitoredStream::new(stream, monitor.clone());
+    stream.limit_body(limits.body_bytes);
     if saves_memory {
         stream.limit_reads();
     }
@@ -222,22 +221,13 @@
                     return;
                 }
                 TimeoutKind::Shed => return,
-                TimeoutKind::Idle if cx.memory.is_active() => {
+                TimeoutKind::Idle => {
                     // A caller that does not read the end of an answer would keep the connection.
                     std::pin::Pin::new(&mut connection).graceful_shutdown();
                     let ended = timeout(limits.header_timeout, &mut connection).await;
                     log::trace!("idle connection of a caller closed in time: {}", ended.is_ok());
                     return;
                 }
-                TimeoutKind::Idle => {
-                    std::pin::Pin::new(&mut connection).graceful_shutdown();
-                    let served = (&mut connection).await;
-                    log::trace!(
-                        "idle connection of a caller closed without an error: {}",
-                        served.is_ok()
-                    );
-                    return;
-                }
             }
         }
     }
@@ -315,9 +305,8 @@
     let in_flight = InFlightGuard::begin(cx, request_id.clone());
     let result = admit_and_answer(cx, req, headers, arrived, sender).await;
     let verdict = result.as_ref().err();
-    let leaves_body_unread =
-        cx.memory.is_active() && verdict.is_some_and(Verdict::leaves_body_unread);
-    if verdict.is_some_and(|v| v.is_stop() && v.leaves_body_unread()) {
+    let leaves_body_unread = verdict.is_some_and(Verdict::leaves_body_unread);
+    if leaves_body_unread && verdict.is_some_and(Verdict::is_stop) {
         monitor.leave_body_unread();
     }
     let mut response = match result {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,23 +10,31 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::connection_pool::{RequestBody, connect};
 use crate::context::Context;
+use crate::server_stream::HeadProgress;
 use crate::store_version;
 use crate::{EventCode, RowWrite, Rows, StoreRequest, Table, WatchResult};
 
 /// Maximum size of an answer of the store, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum size of a table, in bytes of the answers with its pages.
+const MAX_TABLE_BYTES: usize = 4 * MAX_ANSWER_BYTES;
+
 /// Time limit until an answer begins, beyond the time for which the call asks the store to wait, and
-/// between two pieces of its body.
+/// for each [`MIN_PROGRESS_BYTES`] of its body.
 ///
 /// The complete answer has no time limit: the time that a large one takes depends on the link, and a
 /// call that is abandoned while bytes arrive has to start from zero.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Number of bytes of a body that count as progress. A store that sends single bytes would otherwise occupy
+/// a client for as long as it likes.
+const MIN_PROGRESS_BYTES: usize = 256;
+
 /// Error of a call to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreError {
@@ -40,7 +48,7 @@
     /// The answer is from the time before the store came back from a copy, or the store came back
     /// while it was read.
     Restored,
-    /// The answer is larger than [`MAX_ANSWER_BYTES`].
+    /// The answer is larger than [`MAX_ANSWER_BYTES`], or the table than [`MAX_TABLE_BYTES`].
     TooLarge,
     /// The store refused the call with this status; the call was not carried out.
     Refused(StatusCode),
@@ -58,7 +66,10 @@
             }
             Self::Restored => write!(f, "the store has come back from a copy meanwhile"),
             Self::TooLarge => {
-                write!(f, "answer of the store exceeds {MAX_ANSWER_BYTES} bytes")
+                write!(
+                    f,
+                    "answer of the store exceeds {MAX_ANSWER_BYTES} bytes, or a table {MAX_TABLE_BYTES}"
+                )
             }
             Self::Refused(status) => write!(f, "store refused the call with status {status}"),
             Self::Unreadable(cause) => write!(f, "answer of the store cannot be decoded: {cause}"),
@@ -75,12 +86,14 @@
     Conflict,
 }
 
+type StoreConnection = (SendRequest<RequestBody>, Rc<HeadProgress>);
+
 /// Store client of one purpose, such as the renewal of the registration.
 pub struct StoreClient {
     cx: Rc<Context>,
     /// Name of the purpose in logs and metrics.
     duty: &'static str,
-    connection: Option<SendRequest<RequestBody>>,
+    connection: Option<StoreConnection>,
     /// Time limit until an answer begins; see [`PROGRESS_TIMEOUT`].
     patience: Duration,
     /// When the present call was sent.
@@ -130,11 +143,24 @@
         let mut all = Rows::default();
         let mut from = String::new();
         let mut era = None;
+        let mut received = 0;
         loop {
             let bytes = self
                 .call_ok((dialect.read)(table, &from), Duration::ZERO)
                 .await?;
+            received += bytes.len();
+            if received > MAX_TABLE_BYTES {
+                return Err(self.record_error(StoreError::TooLarge));
+            }
             let page = self.decode_rows(&bytes)?;
+            if page
+                .rows
+                .first()
+                .is_some_and(|first| first.key.as_str() < from.as_str())
+            {
+                let cause = format!("page from key {from} begins before it");
+                return Err(self.record_error(StoreError::Unreadable(cause)));
+            }
             if *era.get_or_insert(self.era) != self.era {
                 return Err(self.record_error(StoreError::Restored));
             }
@@ -269,14 +295,14 @@
         call: StoreRequest,
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let (response, sender) = timeout(wait + self.patience, self.send(call))
+        let (response, connection) = timeout(wait + self.patience, self.send(call))
             .await
             .unwrap_or(Err(StoreError::Unanswered))?;
         let status = response.status();
         let era = (self.cx.adapter.store.era)(response.headers());
         self.record_era(era)?;
         let bytes = self.receive_body(response.into_body()).await?;
-        self.connection = Some(sender);
+        self.connection = Some(connection);
         Ok((status, bytes))
     }
 
@@ -310,12 +336,12 @@
     async fn send(
         &mut self,
         call: StoreRequest,
-    ) -> Result<(Response<Incoming>, SendRequest<RequestBody>), StoreError> {
+    ) -> Result<(Response<Incoming>, StoreConnection), StoreError> {
         let address = self.cx.settings().store.address.to_string();
-        let idle = self.connection.take().filter(|c| !c.is_closed());
-        let mut sender = match idle {
-            Some(sender) => sender,
-            None => connect(&address, None)
+        let idle = self.connection.take().filter(|(c, _)| !c.is_closed());
+        let (mut sender, progress) = match idle {
+            Some(connection) => connection,
+            None => connect(&address)
                 .await
                 .map_err(|_| StoreError::Unreachable)?,
         };
@@ -326,15 +352,19 @@
             .body(Bytes::from(call.body).into())
             .map_err(|error| StoreError::Unreadable(error.to_string()))?;
         sender.ready().await.map_err(|_| StoreError::Unreachable)?;
+        progress.begin();
         let response = sender.send_request(request).await;
+        progress.end();
         let response = response.map_err(|_| StoreError::Unanswered)?;
-        Ok((response, sender))
+        Ok((response, (sender, progress)))
     }
 
     async fn receive_body(&mut self, mut body: Incoming) -> Result<Bytes, StoreError> {
         let mut bytes = BytesMut::new();
+        let mut progress_at = Instant::now();
+        let mut counted = 0;
         loop {
-            let frame = match timeout(PROGRESS_TIMEOUT, body.frame()).await {
+            let frame = match timeout_at(progress_at + PROGRESS_TIMEOUT, body.frame()).await {
                 Ok(None) => return Ok(bytes.freeze()),
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) | Err(_) => return Err(StoreError::Incomplete(self.received)),
@@ -346,6 +376,10 @@
             if self.received > MAX_ANSWER_BYTES {
                 return Err(StoreError::TooLarge);
             }
+            if self.received >= counted + MIN_PROGRESS_BYTES {
+                counted = self.received;
+                progress_at = Instant::now();
+            }
             bytes.extend_from_slice(&data);
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,8 +10,10 @@
 
 use crate::EventCode;
 use crate::answer::{ChunkStream, IncompleteBody, Verdict};
+use crate::context::Context;
 use crate::exchange::{SendError, TIMED_OUT, log_send_failure};
 use crate::generation::Generation;
+use crate::held_events::HeldEvents;
 use crate::quarantine;
 use crate::relay::{self, SILENT_INSTANCE};
 use crate::replacement::Progress;
@@ -46,7 +48,7 @@
     generation: Generation,
     /// Run that produces the events; `None` while another one is being started.
     run: Option<StreamRun>,
-    events: EventSplitter,
+    events: HeldEvents,
     /// Complete events that have not been forwarded yet.
     ready: Option<Bytes>,
     last_event: Option<u64>,
@@ -73,7 +75,7 @@
     pub async fn start(generation: Generation, run: StreamRun) -> Result<Self, Verdict> {
         let mut forwarder = Self {
             record: StreamRecord::start(generation.cx(), generation.req()),
-            events: EventSplitter::first(generation.req().position()),
+            events: HeldEvents::new(EventSplitter::first(generation.req().position())),
             generation,
             content_type: run.content_type().cloned(),
             run: Some(run),
@@ -179,14 +181,19 @@
         let (source, last_event) = (run.source(), self.last_event);
         let generation = &mut self.generation;
         let left = generation.req().time_left(generation.cx().now());
-        let splitter = &mut self.events;
+        // Events that are ready at once would be received after any time limit.
+        if left.is_zero() {
+            return Progress::TimedOut;
+        }
+        let cx = generation.cx().clone();
+        let held = &mut self.events;
         let content_type = self.content_type.clone();
         // A run that fails is dropped: it must not continue in parallel with the next one.
         let events = async move {
-            if splitter.is_joined() && !run.may_follow(content_type.as_ref()) {
+            if held.is_joined() && !run.may_follow(content_type.as_ref()) {
                 return Err(OTHER_TYPE);
             }
-            let events = next_events(&mut run, splitter).await?;
+            let events = next_events(&cx, &mut run, held).await?;
             Ok((run, events))
         };
         if let RunSource::Engine { server, .. } = source
@@ -340,7 +347,7 @@
         self.run = Some(run);
         self.record_source();
         let position = self.last_event.or(self.generation.req().position());
-        self.events = EventSplitter::joined(position);
+        self.events = HeldEvents::new(EventSplitter::joined(position));
         self.run_began_at = None;
     }
 
@@ -362,16 +369,17 @@
 /// # Errors
 /// Fails if the run was broken off, or does not go on after the last event.
 async fn next_events(
+    cx: &Context,
     run: &mut StreamRun,
-    splitter: &mut EventSplitter,
+    held: &mut HeldEvents,
 ) -> Result<Events, SendError> {
     let broken = |fault: StreamFault| SendError::Lost(fault.reason());
     loop {
         let Some(chunk) = run.next_chunk().await else {
-            splitter.end(run.is_delimited()).map_err(broken)?;
+            held.end(run.is_delimited()).map_err(broken)?;
             return Ok(None);
         };
-        let events = splitter.push(&chunk?).map_err(broken)?;
+        let events = held.push(cx, &chunk?)?;
         if !events.is_empty() {
             return Ok(Some(events));
         }
--- a/crates/routing/src/event_stream.rs
+++ b/crates/routing/src/event_stream.rs
@@ -1,10 +1,11 @@
 //! Splits a stream of server-sent events into complete events.
 
-use std::mem;
-
 /// Maximum size of an event; a larger one is treated as a fault of the backend server.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Space beyond the incomplete event that is kept for the next chunk, in bytes.
+const SPARE_BYTES: usize = 64 * 1024;
+
 /// A complete event, including the blank line at its end.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StreamEvent {
@@ -111,20 +112,28 @@
         let mut scanned = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(chunk);
         let mut events = Vec::new();
+        let mut start = 0;
         while let Some(end) = end_of_event(&self.partial, scanned) {
-            let rest = self.partial.split_off(end);
-            let bytes = mem::replace(&mut self.partial, rest);
+            let bytes = self.partial[start..end].to_vec();
             let event = StreamEvent::parse(bytes).ok_or(StreamFault::Malformed)?;
             self.check_order(&event)?;
             events.push(event);
-            scanned = 0;
+            start = end;
+            scanned = end;
         }
+        self.partial.drain(..start);
+        self.partial.shrink_to(SPARE_BYTES);
         match self.partial.len() <= MAX_EVENT_BYTES {
             true => Ok(events),
             false => Err(StreamFault::Malformed),
         }
     }
 
+    /// Returns the number of bytes that are allocated for an incomplete event.
+    pub fn held_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     fn check_order(&mut self, event: &StreamEvent) -> Result<(), StreamFault> {
         if event.is_empty {
             return Ok(());
