Refuse a request that waits here as soon as it cannot end before a planned stop

A generation that waited for engine memory when SIGTERM came was refused only 0.65 s before the kill, though it could not have begun any more; its caller lost that time.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -28,7 +28,7 @@
 use crate::memory_budget::BYTES_PER_MB;
 use crate::relay::{RelayTerms, UNREACHED_HEADER};
 use crate::socket_buffers::SocketBuffers;
-use crate::{CallerHeaders, EventCode, generation, plain};
+use crate::{CallerHeaders, EventCode, drain, generation, plain};
 
 /// Descriptors reserved for files, listeners, and connections to peers and the store.
 const RESERVED_DESCRIPTORS: usize = 240;
@@ -410,6 +410,7 @@
         () = cx.wait_for_stop(PlannedStop::answer_by) => {
             Err(Verdict::stopping(req.may_have_run()))
         }
+        () = too_late_to_begin(cx, &req) => Err(Verdict::stopping(false)),
     };
     if let Ok(response) = &result {
         log_answer(cx, &req, response.status());
@@ -417,6 +418,14 @@
     result
 }
 
+/// Waits until it is too late for a request to begin that has not been sent; forever if it has.
+async fn too_late_to_begin(cx: &Context, req: &CallerRequest) {
+    drain::too_late_to_begin(cx, &req.route, req.deadline).await;
+    if req.sends.count() > 0 || req.may_have_run() {
+        std::future::pending().await
+    }
+}
+
 fn forward(
     cx: Rc<Context>,
     req: Rc<CallerRequest>,
