--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -6,8 +6,9 @@
 
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Method, Uri};
-use jacinthlever_routing::{Fingerprint, FleetConfig, Route};
+use jacinthlever_routing::{Fingerprint, FleetConfig, PlannedStop, Route, RouteKind};
 use smol_str::SmolStr;
+use tokio::sync::watch;
 
 use crate::CallerHeaders;
 use crate::answer::Verdict;
@@ -56,17 +57,36 @@
     pub deadline: Duration,
     /// Hash of key, method, path and body, which identifies equal requests.
     pub fingerprint: Fingerprint,
-    /// Whether a backend server may have run the request.
-    pub may_have_run: Cell<bool>,
+    /// Number of sends that a backend server may have run: those under way, and those that ended without
+    /// the proof that they were not run.
+    pub possible_runs: Cell<u32>,
     /// The sends of the request to backend servers.
     pub sends: Rc<Sends>,
     /// Charge against the customer's quota; `None` on public routes.
     pub charge: Option<Charge>,
     /// Whether another instance has passed the request on to this one.
     pub is_relayed: bool,
+    /// Schedule of the planned stop of this instance.
+    pub stop: watch::Receiver<Option<PlannedStop>>,
 }
 
 impl CallerRequest {
+    /// Whether a backend server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs.get() > 0
+    }
+
+    /// Records that a send begins, which a backend server may run. It is counted as long as it is not
+    /// withdrawn, also when it is given up.
+    pub fn begin_run(&self) {
+        self.possible_runs.set(self.possible_runs.get() + 1);
+    }
+
+    /// Records that a send which has begun was not run and will not be. Others may have been.
+    pub fn withdraw_run(&self) {
+        self.possible_runs.set(self.possible_runs.get() - 1);
+    }
+
     /// Charges the customer, unless that has been done already.
     ///
     /// # Errors
@@ -93,9 +113,26 @@
         self.headers.last_event.filter(|_| self.route.is_resumable)
     }
 
-    /// Returns the time left until the deadline, zero once it has passed.
+    /// Returns the time left until the deadline, or until this instance stops; zero once it has passed.
     pub fn time_left(&self, now: Duration) -> Duration {
-        self.deadline.saturating_sub(now)
+        let stop = self.stop.borrow();
+        let stops_at = stop.as_ref().map(|stop| match self.route.kind {
+            RouteKind::Stream => stop.exit_by(),
+            RouteKind::Safe | RouteKind::Unsafe => stop.answer_by(),
+        });
+        let until = stops_at.map_or(self.deadline, |at| at.min(self.deadline));
+        until.saturating_sub(now)
+    }
+
+    /// Records how long the request has run, now that its answer is whole. A stream that the caller took
+    /// up does not count.
+    pub fn record_run_time(&self, cx: &Context) {
+        let is_taken_up = self.headers.resumes.is_some() || self.headers.last_event.is_some();
+        if let Some(sent_at) = self.sends.first_sent_at().filter(|_| !is_taken_up) {
+            let took = cx.now().saturating_sub(sent_at);
+            let mut state = cx.state.borrow_mut();
+            state.run_times.record(&self.route.name, took);
+        }
     }
 
     /// Returns the customer's name for metrics and logs, `public` on public routes.
@@ -121,7 +158,7 @@
 
 impl Drop for CallerRequest {
     fn drop(&mut self) {
-        if let Some(charge) = self.charge.as_ref().filter(|_| self.may_have_run.get()) {
+        if let Some(charge) = self.charge.as_ref().filter(|_| self.may_have_run()) {
             charge.settle();
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,17 +10,19 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jacinthlever_routing::{CallOutcome, HoldingUse, ServerKey};
+use jacinthlever_routing::{CallIdentity, CallOutcome, HoldingUse, ServerKey};
 use smol_str::SmolStr;
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
+use crate::answer::STOPPING;
 use crate::attribution;
 use crate::caller_request::{CallerRequest, remove_connection_headers};
 use crate::cold_servers;
 use crate::connection_pool::{Connection, RequestBody};
 use crate::context::Context;
 use crate::departures;
+use crate::drain;
 use crate::evacuations::EVACUATED;
 use crate::held_body::{HeldBody, ReadError};
 use crate::pauses;
@@ -153,6 +155,11 @@
             ..extra
         };
         let is_prefill = extra.prefill_only;
+        let goes_on = extra.last_event.is_some() && extra.last_event != req.headers.last_event;
+        let is_under_way = goes_on || req.sends.is_prefilled();
+        if !is_under_way && !drain::may_begin(cx, &req.route, req.deadline) {
+            return Err(STOPS_TOO_SOON);
+        }
         // The permits of a reserved decode were acquired with its reservation.
         let has_permit = match extra.reservation_id {
             Some(_) => true,
@@ -312,6 +319,12 @@
             attribution::log_foreign(cx, server, self.status, head, self.request_id.as_ref());
             return Err(error);
         }
+        if self.status.is_informational() {
+            cx.record_outcome(server, CallOutcome::Broken);
+            return Err(SendError::Lost(
+                "informational answer in place of a final one",
+            ));
+        }
         if let Some(load) = head.load {
             shared_loads::record(cx, server, load);
         }
@@ -363,7 +376,7 @@
             ("server", id.as_str().into()),
             ("status", self.status.as_u16().into()),
             ("connection", connection.map(|c| c.number).into()),
-            ("calls", connection.map(|c| c.calls).into()),
+            ("calls", connection.map(Connection::calls).into()),
         ];
         cx.log(EventCode::ServerRefused, fields);
     }
@@ -447,6 +460,9 @@
 /// The server did not answer within the time limit of the send.
 pub const TIMED_OUT: SendError = SendError::Lost("no answer in time");
 
+/// The request could not end before this instance stops.
+pub const STOPS_TOO_SOON: SendError = SendError::Unsent(STOPPING);
+
 /// The caller's key was revoked, or may have been, between the request's arrival and the send.
 pub const KEY_REVOKED: SendError = SendError::Unsent("key is no longer accepted");
 
@@ -534,8 +550,11 @@
     call: &Outgoing,
     caller_send: Option<&CallerSend<'_>>,
 ) -> Result<ResponseAndConnection, SendError> {
+    let identity = caller_send.map_or(CallIdentity::Nameless, |c| {
+        CallIdentity::Request(&c.req.headers.request_id)
+    });
     loop {
-        let idle = cx.connection_pool.reuse(cx.now(), &server);
+        let idle = cx.connection_pool.reuse(cx.now(), &server, identity);
         let mut connection = match idle {
             Some(connection) => connection,
             None => Connection::open(cx, &target.address).await?,
@@ -549,7 +568,7 @@
         let request = call.request(&target.address)?;
         let ticket = caller_send.map(|c| &c.ticket);
         ticket.inspect(|ticket| ticket.record_use());
-        let sent = connection.send(request).await;
+        let sent = connection.send(request, identity).await;
         if matches!(sent, Err(SendError::Unsent(_))) {
             ticket.inspect(|ticket| ticket.undo_use());
             // The server may have closed the connection while it was idle.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jacinthlever_routing::{HoldingUse, RouteKind};
+use jacinthlever_routing::{CallIdentity, HoldingUse, RouteKind};
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
@@ -23,9 +23,10 @@
 use crate::caller_request::CallerRequest;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::context::Context;
+use crate::drain;
 use crate::exchange::{
-    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, SendError, TIMED_OUT, UNSIGNED, forwardable_headers,
-    head_timeout, idle_timeout, is_delimited,
+    MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, STOPS_TOO_SOON, SendError, TIMED_OUT, UNSIGNED,
+    forwardable_headers, head_timeout, idle_timeout, is_delimited,
 };
 use crate::held_body::{HeldBody, ReadError};
 use crate::reach;
@@ -171,6 +172,9 @@
     last_event: Option<u64>,
     may_give_up: bool,
 ) -> Result<RelayedAnswer, SendError> {
+    if last_event.is_none() && !drain::may_begin(cx, &req.route, req.deadline) {
+        return Err(STOPS_TOO_SOON);
+    }
     let is_repeatable = req.route.kind == RouteKind::Safe;
     let mut tried = Vec::new();
     let mut last = NO_RELAY;
@@ -228,16 +232,18 @@
     last_event: Option<u64>,
     may_give_up: bool,
 ) -> Result<RelayedAnswer, Verdict> {
-    let refusal = |reason| match req.may_have_run.get() {
+    let refusal = |reason| match req.may_have_run() {
         true => Verdict::lost(reason),
         false => Verdict::unavailable(reason, retry_after(cx)),
     };
     let tickets = req.sends.relay_tickets();
     let tickets = tickets.ok_or_else(|| refusal(BUDGET_SPENT))?;
-    let before = req.may_have_run.replace(true);
+    req.begin_run();
     let sent = send(cx, req, attempts, tickets, last_event, may_give_up).await;
     sent.map_err(|error| {
-        req.may_have_run.set(before || error.may_have_run());
+        if !error.may_have_run() {
+            req.withdraw_run();
+        }
         match error {
             TIMED_OUT => Verdict::timed_out(),
             _ => refusal(error.reason()),
@@ -334,8 +340,9 @@
     attempts: u32,
     last_event: Option<u64>,
 ) -> Result<(Response<Incoming>, Connection), SendError> {
+    let call = CallIdentity::Request(&req.headers.request_id);
     loop {
-        let idle = cx.relays.pool.reuse(cx.now(), address);
+        let idle = cx.relays.pool.reuse(cx.now(), address, call);
         let mut connection = match idle {
             Some(connection) => connection,
             None => Connection::open(cx, address).await?,
@@ -353,7 +360,7 @@
         headers.insert(ATTEMPTS_HEADER, HeaderValue::from(attempts));
         headers.insert(CONFIG_HEADER, HeaderValue::from(req.config.version));
         *request.headers_mut() = headers;
-        match connection.send(request).await {
+        match connection.send(request, call).await {
             // The instance may have closed it while it was idle.
             Err(SendError::Unsent(_)) if connection.is_reused() => {}
             sent => return sent.map(|response| (response, connection)),
