--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -56,6 +56,8 @@
     /// The server asks the instances to hold back: it refuses all requests with a pause, or says in all
     /// answers that it leaves, and starts again at the end of the fault.
     Restrain(Restraint),
+    /// The server refuses some requests at first, and sends copies of earlier answers before some answers.
+    RepeatAnswers,
     /// The server is silent for this time before each answer, and goes on.
     SilentAnswers(Duration),
     /// An engine is silent in each stream for a time, and goes on.
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -38,6 +38,11 @@
 /// Minimum duration of a cut of instances from all servers.
 const MIN_CUT_DURATION: Duration = Duration::from_millis(3000);
 
+/// Duration of a time in which all servers repeat answers, and the time until the next one. Refusals in it draw
+/// on the retry budget, which has to last.
+const COPIES_MS: std::ops::Range<u64> = 600..1600;
+const BETWEEN_COPIES_MS: std::ops::Range<u64> = 800..2400;
+
 /// Duration of an evacuation: longer than the time until it must be obeyed.
 const EVACUATION_MS: std::ops::Range<u64> = 7500..9500;
 
@@ -107,6 +112,7 @@
         faults.extend(server_cuts(seed, length, fleet));
         faults.extend(storms(seed, length, fleet));
         faults.extend(evacuations(seed, length));
+        faults.extend(repeated_answers(seed, length, fleet));
         faults.sort_by_key(|planned| planned.at);
         Self { faults }
     }
@@ -359,6 +365,29 @@
     faults
 }
 
+/// Returns, for two of five seeds, times in which all servers send copies of earlier answers: a request is sent
+/// again to a server that has refused it only if all of its service have.
+///
+/// They have a generator of their own, so that the other faults of a seed stay the same.
+fn repeated_answers(seed: u64, length: Duration, fleet: FleetSize) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(8));
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(BETWEEN_COPIES_MS));
+    while matches!(seed % 5, 2 | 3) && at < length {
+        let duration = Duration::from_millis(rng.random_range(COPIES_MS)).min(length - at);
+        faults.extend((0..fleet.servers).map(|server| PlannedFault {
+            at,
+            duration,
+            fault: Fault::Server {
+                server,
+                fault: ServerFault::RepeatAnswers,
+            },
+        }));
+        at += duration + Duration::from_millis(rng.random_range(BETWEEN_COPIES_MS));
+    }
+    faults
+}
+
 fn random_fault(rng: &mut ChaCha8Rng, fleet: FleetSize) -> Fault {
     let instance = rng.random_range(0..fleet.instances);
     let server = rng.random_range(0..fleet.servers);
--- a/crates/soak/tests/fault_plan.rs
+++ b/crates/soak/tests/fault_plan.rs
@@ -1,6 +1,6 @@
 //! Fault plans depend only on their seed and contain every kind of fault.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use jacinthlever_soak::{Fault, FaultPlan, FleetSize, LinkFault, PlannedFault, ServerFault};
@@ -120,3 +120,23 @@
         |planned: &PlannedFault| matches!(planned.fault, Fault::Link(LinkFault::Servers { .. }, _));
     assert!(!plan.faults.iter().any(is_cut));
 }
+
+// Guards against copies at a part of the servers only: no request would be sent to the same server again.
+#[test]
+fn all_servers_repeat_answers_at_the_same_time() {
+    let length = Duration::from_secs(20);
+    for seed in 0..20 {
+        let mut counts = BTreeMap::new();
+        for planned in FaultPlan::generate(seed, length, FLEET).faults {
+            if let Fault::Server {
+                fault: ServerFault::RepeatAnswers,
+                ..
+            } = planned.fault
+            {
+                *counts.entry(planned.at).or_insert(0) += 1;
+            }
+        }
+        assert_eq!(counts.is_empty(), !matches!(seed % 5, 2 | 3));
+        assert!(counts.values().all(|count| *count == FLEET.servers));
+    }
+}
