Fault soak: planned stops in series, with requests that come late

The soak stopped one instance at its end, with a grace period twice the time-out of the routes, so nothing could be under way at the end of it.

The former check, nothing that a server ran is cut off by the stop, is part of the check of requests without an answer, which also covers requests that no server ran and names when the last byte was sent.

--- a/crates/soak/src/cut_off.rs
+++ b/crates/soak/src/cut_off.rs
@@ -10,6 +10,10 @@
 /// Time after which a request counts as read by its instance, also if no server ran it.
 const READ_TIME: Duration = Duration::from_millis(200);
 
+/// Time after a planned stop until which a request may have arrived that is still run at the end of the grace
+/// period.
+const LAST_ARRIVAL: Duration = Duration::from_secs(3);
+
 /// A fault that was injected, with its actual times since the start of the run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct InjectedFault {
@@ -49,6 +53,13 @@
             Fault::Stop { instance } => {
                 is_own(instance).then_some(self.ending.min(self.from + grace_period))
             }
+            // Servers may outlast the grace period with what came early: its last sixth excuses them.
+            Fault::PlannedStop { instance } => {
+                let is_early = cut_off.whole <= self.from + LAST_ARRIVAL;
+                let is_excused =
+                    instance == cut_off.instance && is_early && !cut_off.servers.is_empty();
+                is_excused.then(|| self.from + grace_period.mul_f64(5.0 / 6.0))
+            }
             Fault::Link(LinkFault::Server { server }, Impairment::Reset)
             | Fault::Server {
                 server,
@@ -73,8 +84,10 @@
     pub servers: Vec<usize>,
     /// Indices of the instances that sent it to these servers.
     pub senders: Vec<usize>,
-    /// When its caller sent it.
+    /// When its caller began to send it.
     pub sent: Duration,
+    /// When its caller had sent its last byte.
+    pub whole: Duration,
     /// When its caller saw the end.
     pub ended: Duration,
 }
@@ -89,7 +102,7 @@
         grace_period: Duration,
     ) -> Option<String> {
         let took = self.ended - self.sent;
-        let was_read = !self.servers.is_empty() || took > READ_TIME;
+        let was_read = !self.servers.is_empty() || self.ended - self.whole > READ_TIME;
         let is_excused = faults.iter().any(|fault| {
             let from = fault.excuses_from(self, grace_period);
             from.is_some_and(|from| {
@@ -97,8 +110,9 @@
             })
         });
         (was_read && took < timeout && !is_excused).then(|| {
-            let (instance, servers, sent) = (self.instance, &self.servers, self.sent);
-            format!("cut off by instance {instance} {took:?} after it was sent at {sent:?}, run by {servers:?}")
+            let (instance, servers) = (self.instance, &self.servers);
+            let (sent, whole) = (self.sent, self.whole);
+            format!("cut off by instance {instance} {took:?} after it was sent at {sent:?}, its last byte at {whole:?}, run by {servers:?}")
         })
     }
 }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -82,6 +82,11 @@
         /// Index of the instance.
         instance: usize,
     },
+    /// An instance is asked to stop, and has its whole grace period for that.
+    PlannedStop {
+        /// Index of the instance.
+        instance: usize,
+    },
     /// An instance is suspended, and is resumed at the end of the fault.
     Pause {
         /// Index of the instance.
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -47,7 +47,7 @@
 const EVACUATION_MS: std::ops::Range<u64> = 7500..9500;
 
 /// Forms of a cut of instances from all servers.
-const CUT_FORMS: [Impairment; 5] = [
+pub const CUT_FORMS: [Impairment; 5] = [
     Impairment::Stall,
     Impairment::Reset,
     Impairment::Refuse,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,7 +19,7 @@
 pub use cut_off::{CutOff, InjectedFault};
 pub use evacuation::{CountedArrivals, Evacuation, ZoneArrival};
 pub use fault::{Fault, LinkFault, ServerFault, StoreFault};
-pub use fault_plan::{FaultPlan, FleetSize, PlannedFault};
+pub use fault_plan::{CUT_FORMS, FaultPlan, FleetSize, PlannedFault};
 pub use ledger::{CallerOutcome, Ledger, Limit, Run, SentRequest};
 pub use limit_period::LimitPeriod;
 pub use proxy::{Impairment, Proxy};
--- a/crates/soak/tests/cut_off.rs
+++ b/crates/soak/tests/cut_off.rs
@@ -20,6 +20,7 @@
         servers: vec![2],
         senders: vec![3],
         sent: ms(10_000),
+        whole: ms(10_000),
         ended: ms(12_000),
     }
 }
@@ -158,3 +159,32 @@
         assert_eq!(reported, !is_excused, "instance {instance}");
     }
 }
+
+#[test]
+fn a_planned_stop_excuses_only_early_requests_that_servers_run_at_the_end_of_the_grace_period() {
+    let stop = Fault::PlannedStop { instance: 1 };
+    // The last sixth of the grace period begins at 11.67 s.
+    let is_reported = |request: &CutOff| is_reported(request, stop, 5_000, 13_000);
+    let early = CutOff {
+        sent: ms(8_000),
+        whole: ms(8_000),
+        ended: ms(11_900),
+        ..cut_off()
+    };
+    assert!(!is_reported(&early));
+    let ends_sooner = CutOff {
+        ended: ms(11_600),
+        ..early.clone()
+    };
+    let arrives_late = CutOff {
+        whole: ms(8_001),
+        ..early.clone()
+    };
+    let is_not_run = CutOff {
+        servers: vec![],
+        ..early
+    };
+    for request in [ends_sooner, arrives_late, is_not_run] {
+        assert!(is_reported(&request), "{request:?}");
+    }
+}
