A load is believed only of the server to which the request was sent

An answer of another server, which has the address now, stated its load, and that was booked for the registered one before the status was looked at. Found by the review by reading; no test showed it. The load is recorded after that check.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -325,13 +325,13 @@
                 "informational answer in place of a final one",
             ));
         }
-        if let Some(load) = head.load {
-            shared_loads::record(cx, server, load);
-        }
         if head.is_other_server {
             cx.record_outcome(server, CallOutcome::Unresponsive);
             return Err(SendError::NotRun("another server has the address"));
         }
+        if let Some(load) = head.load {
+            shared_loads::record(cx, server, load);
+        }
         let sent_at = now.saturating_sub(took);
         server_limits::record(cx, server, sent_at, &head.limit);
         pauses::record(cx, server, sent_at, &head.pause);
