Idle connections with reservations are not closed for their number

Cause: kept at most three idle connections that had carried a control call, and closed the oldest. A server ends a reservation with the connection on which it was made, so with four prefills under way at a time the first lost its reservation.

Change: the limit of three is gone; beyond the limit of a server the oldest idle connection is closed, no longer the one that is returned. No test of ours failed before: the fakes keep reservations beyond their connections; such a test is open.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -38,10 +38,6 @@
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 32;
 
-/// Maximum number of idle connections to one server that may carry no further control call. Each control
-/// call leaves another one.
-const MAX_SPENT_IDLE: usize = 3;
-
 /// Maximum size of the buffer of a connection, in bytes. The head of an answer has to fit.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -141,8 +137,8 @@
         Some(connections.remove(index).connection)
     }
 
-    /// Returns a connection to the pool after its answer is complete, unless the server already has
-    /// `max_idle` idle ones. `idle_timeout` is the one that the server announced, if any.
+    /// Returns a connection to the pool after its answer is complete; the oldest idle one is closed if the
+    /// server already has `max_idle` of them. `idle_timeout` is the one that the server announced, if any.
     pub fn put_back(
         &self,
         now: Duration,
@@ -157,18 +153,18 @@
         }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(server).or_default();
-        let is_spent = |c: &IdleConnection| c.connection.history.has_nameless();
-        if connections.iter().filter(|c| is_spent(c)).count() >= MAX_SPENT_IDLE
-            && let Some(oldest) = connections.iter().position(is_spent)
-        {
-            connections.remove(oldest);
+        let max_idle = max_idle.min(MAX_IDLE);
+        if max_idle == 0 {
+            return;
         }
-        if connections.len() < max_idle.min(MAX_IDLE) {
-            connections.push(IdleConnection {
-                connection,
-                usable_until: now + lifetime,
-            });
+        // The oldest one is closed: a server ends a reservation with the connection on which it was made.
+        if connections.len() >= max_idle {
+            connections.remove(0);
         }
+        connections.push(IdleConnection {
+            connection,
+            usable_until: now + lifetime,
+        });
     }
 
     /// Closes all idle connections to a server.
--- a/crates/routing/src/connection_history.rs
+++ b/crates/routing/src/connection_history.rs
@@ -46,11 +46,6 @@
         }
     }
 
-    /// Whether the connection may carry no further nameless call.
-    pub fn has_nameless(&self) -> bool {
-        self.has_nameless
-    }
-
     /// Whether the connection may carry no further request.
     pub fn is_full(&self) -> bool {
         self.requests.len() >= MAX_CALLS
