--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 root=$(cd "$here/../.." && pwd) || exit 2
 standins="$root/target/review-2/standins"
 [ -x "$standins" ] || exit 2
-exec "$standins" restored-journal "$root" "$here/record.txt"
+exec "$standins" moved-weights "$root" "$here/record.txt"
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -431,64 +431,6 @@
     broken
 }
 
-/// ORDER: the store comes back from a copy made before a release began, and all instances are killed meanwhile.
-fn restored_list(s: &Setting) -> i32 {
-    s.store.put("op", "config", &configuration(14_000));
-    let _old = [
-        s.worker("i-1a", "v1", "prefill", "a"),
-        s.worker("i-1b", "v1", "decode", "a"),
-        s.worker("i-1c", "v1", "decode", "b"),
-    ];
-    let mut instances = s.instances(&["a", "b", "c"]);
-    let addresses = addresses(&instances);
-    let start = Instant::now();
-    let plan = Plan {
-        path: "/pufi791/2f?pieces=60&gap=100".into(),
-        pieces: 60,
-        deadline: Duration::from_secs(14),
-        pauses: seconds(&[0.4, 0.5, 0.6]),
-        key: KEY,
-    };
-    let traffic = Traffic::start(&s.record, &addresses, "s", 12.0, plan);
-    s.until(start, 5.0);
-    let copy = s.store.copy();
-    s.record.line("the copy of the store is made");
-    s.until(start, 6.0);
-    // The new worker of a release starts before an old one leaves.
-    let _new = s.worker("i-2b", "v2", "decode", "a");
-    s.until(start, 9.0);
-    if s.has_trouble {
-        s.record
-            .line("the store goes away, and all instances are killed");
-        s.store.go_away();
-        if s.leaves_out != "kill" {
-            instances.iter_mut().for_each(Instance::kill);
-        }
-        s.until(start, 9.8);
-        match s.leaves_out.as_str() {
-            "restore" => s.store.return_unchanged(),
-            _ => s.store.return_from(&copy),
-        }
-        s.record
-            .line("the store comes back, and the instances are started");
-        if s.leaves_out != "kill" {
-            instances.iter_mut().for_each(Instance::restart);
-        }
-    }
-    s.until(start, 16.0);
-    let seen = traffic.finish();
-    let joined = joined(&s.record, &seen);
-    let taken = seen.iter().filter(|s| !s.take_ups.is_empty()).count();
-    let goes_on = |s: &&Seen| s.take_ups.iter().any(|attempt| attempt.went_on);
-    let on = seen.iter().filter(goes_on).count();
-    s.record.say(&format!(
-        "{} streams, {taken} taken up, {on} of these go on, {joined} joined from two versions (2 are allowed)",
-        seen.len()
-    ));
-    drop(instances);
-    i32::from(joined > 2)
-}
-
 /// LOST: two versions side by side for longer than a minute, then the store comes back from a copy, and some
 /// seconds later all instances are killed.
 fn restored_journal(s: &Setting) -> i32 {
@@ -537,6 +479,12 @@
     }
     s.until(start, 102.0);
     let seen = traffic.finish();
+    let taken: Vec<&Seen> = seen.iter().filter(|s| !s.take_ups.is_empty()).collect();
+    let whole = taken.iter().filter(|s| s.is_whole).count();
+    s.record.say(&format!(
+        "of {} streams that were taken up at any time, {whole} are whole",
+        taken.len()
+    ));
     let from = back_at + STABLE_WINDOW;
     let broken = take_up_share(s, &seen, |_, _| true, (from, from + 4.0));
     drop(instances);
@@ -574,7 +522,6 @@
     let code = match case.as_str() {
         "late-take-up" => late_take_up(&setting),
         "long-streams" => long_streams(&setting),
-        "restored-list" => restored_list(&setting),
         "restored-journal" => restored_journal(&setting),
         "moved-weights" => moved_weights(&setting),
         _ => 2,
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -115,11 +115,6 @@
         self.state.lock().unwrap().is_away = true;
     }
 
-    /// Comes back as it was.
-    pub fn return_unchanged(&self) {
-        self.state.lock().unwrap().is_away = false;
-    }
-
     /// Comes back from a copy: versions go back, and the era rises.
     pub fn return_from(&self, copy: &Copy) {
         let mut state = self.state.lock().unwrap();
