--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -37,6 +37,8 @@
     pub status: u16,
     /// Whether it has brought an event.
     pub went_on: bool,
+    /// When its answer broke off, if it did.
+    pub broken_at: Option<f64>,
 }
 
 /// What a client asks for, and how it tries again.
@@ -114,6 +116,7 @@
             address: address.clone(),
             status,
             went_on: seen.events > had,
+            broken_at: matches!(outcome, Ok(Outcome::Broken(_)) | Err(_)).then(|| record.at()),
         };
         if number == 1 {
             seen.first = made.clone();
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -15,6 +15,7 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 
 pub struct Instance {
@@ -133,11 +134,20 @@
 
     /// Asks the process to stop, as the platform does before planned work.
     pub fn terminate(&mut self) {
+        self.signal(SIGTERM, "SIGTERM");
+    }
+
+    /// Tells the process that its settings file has changed.
+    pub fn hang_up(&mut self) {
+        self.signal(SIGHUP, "SIGHUP");
+    }
+
+    fn signal(&mut self, signal: i32, name: &str) {
         if let Some(child) = &self.child {
             // SAFETY: the process is a child that has not been waited for, so the number is its own.
-            unsafe { kill(child.id() as i32, SIGTERM) };
+            unsafe { kill(child.id() as i32, signal) };
             self.record
-                .line(&format!("instance {} gets SIGTERM", self.name));
+                .line(&format!("instance {} gets {name}", self.name));
         }
     }
 }
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -188,3 +188,28 @@
     }
     text
 }
+
+/// Decodes base64; bytes that are no digits are passed over.
+pub fn from_base64(text: &str) -> Vec<u8> {
+    let digit = |byte: u8| -> Option<u32> {
+        Some(match byte {
+            b'A'..=b'Z' => byte - b'A',
+            b'a'..=b'z' => byte - b'a' + 26,
+            b'0'..=b'9' => byte - b'0' + 52,
+            b'+' => 62,
+            b'/' => 63,
+            _ => return None,
+        })
+        .map(u32::from)
+    };
+    let (mut bytes, mut word, mut bits) = (Vec::new(), 0_u32, 0);
+    for value in text.bytes().filter_map(digit) {
+        word = word << 6 | value;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((word >> bits) as u8);
+        }
+    }
+    bytes
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -491,6 +491,75 @@
     broken
 }
 
+/// LOST: workers fall silent for a second or so while streams run that an instance has passed on, since it is cut
+/// off from all workers.
+fn silent_relays(s: &Setting) -> i32 {
+    let config = configuration(14_000);
+    let config = config.replace("\"targetLatencyMs\":900", "\"targetLatencyMs\":150");
+    let config = config.replace("\"gapAimMs\":1200", "\"gapAimMs\":150");
+    s.store.put("op", "config", &config);
+    let workers = [
+        s.worker("i-1a", "v1", "prefill", "a"),
+        s.worker("i-1b", "v1", "decode", "a"),
+        s.worker("i-1c", "v1", "decode", "b"),
+        s.worker("i-1d", "v1", "decode", "b"),
+    ];
+    let start = |zone: &str, store: &str| {
+        let name = format!("front-{zone}-1");
+        Instance::start(&s.root, &s.folder, &name, zone, store, &s.record)
+    };
+    let mut instances = vec![
+        start("a", &s.store.other_view()),
+        start("b", &s.store.address),
+        start("c", &s.store.address),
+    ];
+    if !instances
+        .iter()
+        .all(|i| i.wait_ready(Duration::from_secs(15)))
+    {
+        s.record.say("an instance does not get ready");
+        drop(instances);
+        s.end(2);
+    }
+    let address = addresses(&instances[..1]);
+    let start = Instant::now();
+    let plan = Plan {
+        path: "/pufi791/2f?pieces=80&gap=100".into(),
+        pieces: 80,
+        deadline: Duration::from_secs(14),
+        pauses: Vec::new(),
+        key: KEY,
+    };
+    s.until(start, 2.0);
+    if s.leaves_out != "cut" {
+        s.record
+            .line("front-a-1 is cut off from all workers, for the rest of the case");
+        workers.iter().for_each(Worker::cut);
+    }
+    s.until(start, 5.5);
+    let traffic = Traffic::start(&s.record, &address, "s", 20.0, plan);
+    s.until(start, 8.0);
+    traffic.stop();
+    instances[0].hang_up();
+    let planned_at = s.record.at();
+    s.until(start, 8.5);
+    if s.has_trouble {
+        let silence = Duration::from_millis(1750);
+        workers.iter().for_each(|w| w.fall_silent(silence));
+    }
+    let seen = traffic.finish();
+    let begun = seen.iter().filter(|s| s.first.went_on).count();
+    let whole = seen.iter().filter(|s| s.is_whole).count();
+    let is_cut = |s: &&Seen| s.first.broken_at.is_some_and(|at| at > planned_at);
+    let cut = seen.iter().filter(is_cut).count();
+    s.record.say(&format!(
+        "{} streams, {begun} begun, {whole} whole, {cut} cut off after the SIGHUP",
+        seen.len()
+    ));
+    drop(instances);
+    i32::from(cut > 3)
+}
+
 fn main() {
     let arguments: Vec<String> = env::args().collect();
     let [_, case, root, record] = arguments.as_slice() else {
@@ -524,6 +593,7 @@
         "long-streams" => long_streams(&setting),
         "restored-journal" => restored_journal(&setting),
         "moved-weights" => moved_weights(&setting),
+        "silent-relays" => silent_relays(&setting),
         _ => 2,
     };
     let verdict = match code {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -8,11 +8,15 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{read_body, read_head, write_answer};
-use crate::json::{Json, base64};
+use crate::json::{Json, base64, from_base64};
 
 /// Interval at which workers write their entries.
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 
+/// Address at which workers listen, and the other one, for an instance that can be cut from them.
+pub const ADDRESS: &str = "127.0.0.1";
+pub const OTHER_ADDRESS: &str = "127.0.0.2";
+
 /// Longest wait of a feed.
 const MAX_WAIT: u64 = 30_000;
 
@@ -60,13 +64,7 @@
             state: Arc::default(),
             started: Instant::now(),
         };
-        let serving = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
+        store.serve_on(listener, false);
         let expiring = store.clone();
         thread::spawn(move || {
             loop {
@@ -77,6 +75,24 @@
         store
     }
 
+    /// Starts a further listener on the same rows, which names the other addresses of the workers. Returns its address.
+    pub fn other_view(&self) -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("no port for the store");
+        let address = listener.local_addr().expect("no address").to_string();
+        self.serve_on(listener, true);
+        address
+    }
+
+    fn serve_on(&self, listener: TcpListener, is_other: bool) {
+        let serving = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(stream, is_other));
+            }
+        });
+    }
+
     /// The operator, or a worker, writes a row.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut state = self.state.lock().unwrap();
@@ -158,7 +174,7 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, is_other: bool) {
         let _ = stream.set_nodelay(true);
         let Ok(mut out) = stream.try_clone() else {
             return;
@@ -168,7 +184,7 @@
             let Ok(body) = read_body(&mut input, &head) else {
                 return;
             };
-            let (status, era, text) = self.answer(head.word(1), &body);
+            let (status, era, text) = self.answer(head.word(1), &body, is_other);
             let headers = [
                 ("Content-Type", "application/json".to_string()),
                 ("Store-Era", era.to_string()),
@@ -179,7 +195,7 @@
         }
     }
 
-    fn answer(&self, url: &str, body: &[u8]) -> (u16, u64, String) {
+    fn answer(&self, url: &str, body: &[u8], is_other: bool) -> (u16, u64, String) {
         let (path, query) = url.split_once('?').unwrap_or((url, ""));
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -249,6 +265,11 @@
                 .into_iter()
                 .map(|((table, key), (value, ver))| {
                     let content = match value {
+                        Some(value) if is_other && table == "servers" => {
+                            let entry = String::from_utf8_lossy(&from_base64(value)).into_owned();
+                            let entry = entry.replace(ADDRESS, OTHER_ADDRESS);
+                            format!("\"value\":\"{}\"", base64(entry.as_bytes()))
+                        }
                         Some(value) => format!("\"value\":\"{value}\""),
                         None => "\"tombstone\":true".into(),
                     };
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -10,7 +10,7 @@
 use crate::http::{Head, read_body, read_head, write_answer};
 use crate::json::Json;
 use crate::record::Record;
-use crate::store::{HEARTBEAT, Store};
+use crate::store::{ADDRESS, HEARTBEAT, OTHER_ADDRESS, Store};
 
 /// Prompt tokens that a prefill worker reads in a millisecond.
 const TOKENS_PER_MS: u64 = 33;
@@ -38,7 +38,13 @@
     seq: AtomicU64,
     fence: AtomicU64,
     running: AtomicU64,
+    /// Until when it sends nothing.
+    silent_until: Mutex<Instant>,
+    /// Whether nothing gets through to the other address.
+    is_cut: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
+    /// Connections to the other address.
+    cuttable: Mutex<Vec<TcpStream>>,
     record: Record,
     store: Store,
 }
@@ -58,7 +64,13 @@
         stage: &'static str,
         zone: &str,
     ) -> Worker {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("no port for a worker");
+        let (listener, other) = loop {
+            let listener = TcpListener::bind((ADDRESS, 0)).expect("no port for a worker");
+            let port = listener.local_addr().expect("no address").port();
+            if let Ok(other) = TcpListener::bind((OTHER_ADDRESS, port)) {
+                break (listener, other);
+            }
+        };
         let born = SystemTime::now().duration_since(UNIX_EPOCH);
         let worker = Worker(Arc::new(Inner {
             id: id.into(),
@@ -75,11 +87,27 @@
             seq: AtomicU64::new(0),
             fence: AtomicU64::new(0),
             running: AtomicU64::new(0),
+            silent_until: Mutex::new(Instant::now()),
+            is_cut: AtomicBool::new(false),
             connections: Mutex::default(),
+            cuttable: Mutex::default(),
             record: record.clone(),
             store: store.clone(),
         }));
         let serving = worker.clone();
+        thread::spawn(move || {
+            for stream in other.incoming().flatten() {
+                if serving.0.is_cut.load(Ordering::SeqCst) {
+                    return;
+                }
+                let worker = serving.clone();
+                if let Ok(handle) = stream.try_clone() {
+                    worker.0.cuttable.lock().unwrap().push(handle);
+                }
+                thread::spawn(move || worker.serve(stream));
+            }
+        });
+        let serving = worker.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if serving.0.has_ended.load(Ordering::SeqCst) {
@@ -141,6 +169,36 @@
         ));
     }
 
+    /// Cuts the instance off that uses the other address: its connections are closed, and new ones refused.
+    pub fn cut(&self) {
+        self.0.is_cut.store(true, Ordering::SeqCst);
+        let address = self.0.address.replace(ADDRESS, OTHER_ADDRESS);
+        // The accepting thread has to see it.
+        let _ = TcpStream::connect(address);
+        for stream in self.0.cuttable.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Sends nothing for a time, and then goes on.
+    pub fn fall_silent(&self, time: Duration) {
+        *self.0.silent_until.lock().unwrap() = Instant::now() + time;
+        let id = &self.0.id;
+        let text = format!("worker {id} falls silent for {:.2} s", time.as_secs_f64());
+        self.0.record.line(&text);
+    }
+
+    fn wait_while_silent(&self) {
+        loop {
+            let until = *self.0.silent_until.lock().unwrap();
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            thread::sleep(left);
+        }
+    }
+
     /// Ends the process: the listener and all connections are closed.
     pub fn end(&self) {
         self.0.has_ended.store(true, Ordering::SeqCst);
@@ -166,6 +224,7 @@
             if self.0.has_ended.load(Ordering::SeqCst) {
                 return;
             }
+            self.wait_while_silent();
             if self.answer(&mut out, &head, &body).is_err() {
                 let _ = out.shutdown(Shutdown::Both);
                 return;
@@ -284,6 +343,7 @@
         let began = Instant::now();
         for piece in first..=pieces {
             thread::sleep(gap);
+            self.wait_while_silent();
             if worker.has_ended.load(Ordering::SeqCst) || has_left(out) {
                 return Err(std::io::ErrorKind::BrokenPipe.into());
             }
