--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -1,10 +1,12 @@
 //! The instances of a small deployment, started as the deploy file says.
 
 use std::fs::{self, File};
+use std::io::{Read, Write};
 use std::net::{TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{self, Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -25,6 +27,8 @@
     folder: PathBuf,
     root: PathBuf,
     child: Option<Child>,
+    /// Whether the reader of its output pauses; without one, the output goes to a file.
+    log_pauses: Option<Arc<AtomicBool>>,
     record: Record,
 }
 
@@ -50,6 +54,19 @@
         zone: &str,
         store: &str,
         record: &Record,
+    ) -> Instance {
+        Self::start_with(root, folder, name, zone, store, record, None)
+    }
+
+    /// Starts an instance whose output is read from a pipe, except while `log_pauses` is set.
+    pub fn start_with(
+        root: &Path,
+        folder: &Path,
+        name: &str,
+        zone: &str,
+        store: &str,
+        record: &Record,
+        log_pauses: Option<Arc<AtomicBool>>,
     ) -> Instance {
         let folder = folder.join(name);
         fs::create_dir_all(&folder).expect("no folder for an instance");
@@ -62,6 +79,7 @@
             folder,
             root: root.into(),
             child: None,
+            log_pauses,
             record: record.clone(),
         };
         let settings = format!(
@@ -82,13 +100,21 @@
             .append(true)
             .open(self.folder.join("log"))
             .expect("no log file");
-        let child = Command::new(self.root.join("target/release/jacinthlever-instance"))
+        let output = match &self.log_pauses {
+            Some(_) => Stdio::piped(),
+            None => log.try_clone().expect("no log file").into(),
+        };
+        let mut child = Command::new(self.root.join("target/release/jacinthlever-instance"))
             .current_dir(&self.root)
             .env("JACINTHLEVER_NODE_FILE", self.folder.join("boot.json"))
             .stdin(Stdio::null())
-            .stdout(log)
+            .stdout(output)
             .spawn()
             .expect("the instance does not start");
+        if let (Some(pauses), Some(output)) = (&self.log_pauses, child.stdout.take()) {
+            let pauses = pauses.clone();
+            thread::spawn(move || read_log(output, log, &pauses));
+        }
         self.record.line(&format!(
             "instance {} starts, process {}",
             self.name,
@@ -152,6 +178,22 @@
     }
 }
 
+/// Copies the output of an instance to a file, except while it pauses.
+fn read_log(mut output: impl Read, mut log: File, pauses: &AtomicBool) {
+    let mut buffer = [0; 4096];
+    loop {
+        while pauses.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        match output.read(&mut buffer) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => {
+                let _ = log.write_all(&buffer[..count]);
+            }
+        }
+    }
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         self.kill();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -560,6 +560,92 @@
     i32::from(cut > 3)
 }
 
+/// CONFIG: nobody reads the logs of the instances for a time, while workers spoil some of their answers.
+fn unread_logs(s: &Setting) -> i32 {
+    let timeout = 14.0;
+    s.store.put("op", "config", &configuration(14_000));
+    let workers = [
+        s.worker("i-1a", "v1", "prefill", "a"),
+        s.worker("i-1b", "v1", "prefill", "b"),
+        s.worker("i-1c", "v1", "decode", "a"),
+        s.worker("i-1d", "v1", "decode", "b"),
+    ];
+    let pauses = Arc::new(AtomicBool::new(false));
+    let start = |zone: &&str| {
+        Instance::start_with(
+            &s.root,
+            &s.folder,
+            &format!("front-{zone}-1"),
+            zone,
+            &s.store.address,
+            &s.record,
+            Some(pauses.clone()),
+        )
+    };
+    let instances: Vec<Instance> = ["a", "b", "c"].iter().map(start).collect();
+    if !instances
+        .iter()
+        .all(|i| i.wait_ready(Duration::from_secs(15)))
+    {
+        s.record.say("an instance does not get ready");
+        drop(instances);
+        s.end(2);
+    }
+    let addresses = addresses(&instances);
+    let start = Instant::now();
+    let plan = Plan {
+        path: "/pufi791/2f?pieces=40&gap=100".into(),
+        pieces: 40,
+        deadline: Duration::from_secs(20),
+        pauses: Vec::new(),
+        key: KEY,
+    };
+    s.until(start, 1.0);
+    let traffic = Traffic::start(&s.record, &addresses, "s", 20.0, plan);
+    s.until(start, 5.0);
+    if s.has_trouble && s.leaves_out != "pause" {
+        s.record.line("nobody reads the logs");
+        pauses.store(true, Ordering::SeqCst);
+    }
+    for from in [20.0, 28.0, 36.0] {
+        s.until(start, from);
+        if s.has_trouble && s.leaves_out != "spoil" {
+            workers[2..].iter().for_each(|w| w.spoil(50));
+        }
+        s.until(start, from + 6.0);
+        if s.has_trouble && s.leaves_out != "spoil" {
+            workers[2..].iter().for_each(|w| w.spoil(0));
+        }
+    }
+    traffic.stop();
+    s.until(start, 58.0);
+    for instance in &instances {
+        let is_ready = instance.is_ready();
+        s.record
+            .say(&format!("{} is ready: {is_ready}", instance.name));
+    }
+    pauses.store(false, Ordering::SeqCst);
+    s.record.line("the logs are read again");
+    let seen = traffic.finish();
+    // Streams that have begun, so that an instance has read and sent them, and their last byte or end of connection.
+    let lasted = |seen: &Seen| match (seen.is_whole, seen.first.broken_at) {
+        (false, Some(at)) => at - seen.first.at,
+        _ => 0.0,
+    };
+    let begun: Vec<&Seen> = seen.iter().filter(|s| s.first.went_on).collect();
+    let late = begun.iter().filter(|s| lasted(s) >= timeout).count();
+    let unanswered = begun.iter().filter(|s| lasted(s) >= timeout + 0.5).count();
+    let whole = begun.iter().filter(|s| s.is_whole).count();
+    s.record.say(&format!(
+        "{} streams, {} begun, {whole} whole; of {late} that had no end when the route's time was over, \
+         {unanswered} had none half a second later",
+        seen.len(),
+        begun.len()
+    ));
+    drop(instances);
+    i32::from(unanswered >= 8 && unanswered * 2 > late)
+}
+
 fn main() {
     let arguments: Vec<String> = env::args().collect();
     let [_, case, root, record] = arguments.as_slice() else {
@@ -594,6 +680,7 @@
         "restored-journal" => restored_journal(&setting),
         "moved-weights" => moved_weights(&setting),
         "silent-relays" => silent_relays(&setting),
+        "unread-logs" => unread_logs(&setting),
         _ => 2,
     };
     let verdict = match code {
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -38,6 +38,9 @@
     seq: AtomicU64,
     fence: AtomicU64,
     running: AtomicU64,
+    /// It spoils every so many-th answer; none if it is 0.
+    spoils: AtomicU64,
+    answers: AtomicU64,
     /// Until when it sends nothing.
     silent_until: Mutex<Instant>,
     /// Whether nothing gets through to the other address.
@@ -87,6 +90,8 @@
             seq: AtomicU64::new(0),
             fence: AtomicU64::new(0),
             running: AtomicU64::new(0),
+            spoils: AtomicU64::new(0),
+            answers: AtomicU64::new(0),
             silent_until: Mutex::new(Instant::now()),
             is_cut: AtomicBool::new(false),
             connections: Mutex::default(),
@@ -188,6 +193,37 @@
         self.0.record.line(&text);
     }
 
+    /// Spoils every so many-th answer from now on, with 0 none.
+    pub fn spoil(&self, every: u64) {
+        self.0.spoils.store(every, Ordering::SeqCst);
+        let id = &self.0.id;
+        self.0.record.line(&match every {
+            0 => format!("worker {id} spoils no answers any more"),
+            _ => format!("worker {id} spoils one of {every} answers"),
+        });
+    }
+
+    /// Whether the present answer is to be spoiled.
+    fn is_spoiled(&self) -> bool {
+        let number = self.0.answers.fetch_add(1, Ordering::SeqCst);
+        let every = self.0.spoils.load(Ordering::SeqCst);
+        every > 0 && number.is_multiple_of(every)
+    }
+
+    /// Writes an answer in JSON. A spoiled one has as many other bytes.
+    fn write_json(
+        &self,
+        out: &mut TcpStream,
+        headers: &[(&str, String)],
+        text: &str,
+        is_spoiled: bool,
+    ) -> std::io::Result<()> {
+        match is_spoiled {
+            true => write_answer(out, 200, headers, &"#".repeat(text.len())),
+            false => write_answer(out, 200, headers, text),
+        }
+    }
+
     fn wait_while_silent(&self) {
         loop {
             let until = *self.0.silent_until.lock().unwrap();
@@ -236,6 +272,14 @@
         let worker = &self.0;
         let (method, path) = (head.word(0), head.word(1));
         let request = head.header("request-id").unwrap_or("");
+        let is_spoiled = self.is_spoiled();
+        if is_spoiled {
+            let text = format!(
+                "worker {} spoils its answer to {method} {path} {request}",
+                worker.id
+            );
+            worker.record.line(&text);
+        }
         let running = worker.running.load(Ordering::SeqCst);
         let mut headers = vec![("Server-Load", format!("{running},0,64"))];
         if !request.is_empty() {
@@ -261,7 +305,7 @@
                 worker.seq.load(Ordering::SeqCst),
                 worker.born
             );
-            return write_answer(out, 200, &headers, &text);
+            return self.write_json(out, &headers, &text, is_spoiled);
         }
         if path == "/jacinthlever/order" {
             let status = self.order(&String::from_utf8_lossy(body));
@@ -271,10 +315,10 @@
             headers.push(json);
             let hold = worker.next_handle.fetch_add(1, Ordering::SeqCst);
             let text = format!("{{\"kvHold\":\"{}-{hold}\"}}", worker.id);
-            return write_answer(out, 200, &headers, &text);
+            return self.write_json(out, &headers, &text, is_spoiled);
         }
         if method == "DELETE" {
-            return write_answer(out, 200, &headers, "{}");
+            return self.write_json(out, &headers, "{}", is_spoiled);
         }
         if path == "/health" {
             headers.push(("Instance-Id", worker.id.clone()));
@@ -298,14 +342,14 @@
                 "{{\"kvHandle\":\"{}-{handle}\",\"tokens\":{tokens},\"version\":1}}",
                 worker.id
             );
-            return write_answer(out, 200, &headers, &text);
+            return self.write_json(out, &headers, &text, is_spoiled);
         }
         if stage != Some("decode") {
             headers.push(not_run);
             return write_answer(out, 421, &headers, "");
         }
         worker.running.fetch_add(1, Ordering::SeqCst);
-        let streamed = self.stream(out, head, headers);
+        let streamed = self.stream(out, head, headers, is_spoiled);
         worker.running.fetch_sub(1, Ordering::SeqCst);
         streamed
     }
@@ -315,6 +359,7 @@
         out: &mut TcpStream,
         head: &Head,
         mut headers: Vec<(&str, String)>,
+        is_spoiled: bool,
     ) -> std::io::Result<()> {
         let worker = &self.0;
         let parameter = |name: &str| -> Option<u64> {
@@ -347,6 +392,10 @@
             if worker.has_ended.load(Ordering::SeqCst) || has_left(out) {
                 return Err(std::io::ErrorKind::BrokenPipe.into());
             }
+            // A spoiled stream is broken off in the middle.
+            if is_spoiled && piece > first.midpoint(pieces) {
+                return Err(std::io::ErrorKind::BrokenPipe.into());
+            }
             let event = format!("id: {piece}\ndata: {} piece {piece}\n\n", worker.version);
             out.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
