--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -560,7 +560,7 @@
     i32::from(cut > 3)
 }
 
-/// CONFIG: nobody reads the logs of the instances for a time, while workers spoil some of their answers.
+/// CONFIG: nobody reads the logs of the instances for a time, while a worker spoils some of its answers.
 fn unread_logs(s: &Setting) -> i32 {
     let timeout = 14.0;
     s.store.put("op", "config", &configuration(14_000));
@@ -610,11 +610,11 @@
     for from in [20.0, 28.0, 36.0] {
         s.until(start, from);
         if s.has_trouble && s.leaves_out != "spoil" {
-            workers[2..].iter().for_each(|w| w.spoil(50));
+            workers[2].spoil(50);
         }
         s.until(start, from + 6.0);
         if s.has_trouble && s.leaves_out != "spoil" {
-            workers[2..].iter().for_each(|w| w.spoil(0));
+            workers[2].spoil(0);
         }
     }
     traffic.stop();
