--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -8,7 +8,9 @@
 use http::header::{self, HeaderMap};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
-use jacinthlever_routing::{CallerLimits, Customer, FleetConfig, HoldingUse, Route};
+use jacinthlever_routing::{
+    CallerLimits, Customer, FleetConfig, HoldingUse, MAX_CALLER_WAIT, Route,
+};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -20,7 +22,7 @@
 use crate::drain;
 use crate::held_body::{HeldBody, ReadError};
 use crate::quarantine;
-use crate::relay::{ATTEMPTS_HEADER, CONFIG_HEADER, RelayTerms};
+use crate::relay::{ATTEMPTS_HEADER, CALLER_WAIT_HEADER, CONFIG_HEADER, RelayTerms};
 use crate::sends::Sends;
 use crate::stream_origins;
 
@@ -116,6 +118,8 @@
     summary.tokens = admission.tokens(&headers);
     let timeout = headers.timeout.unwrap_or(admission.route.timeout);
     let deadline = arrived + timeout.min(admission.route.timeout);
+    let caller_wait = relayed.and_then(|relayed| relayed.caller_wait);
+    let caller_wait = caller_wait.unwrap_or(timeout).min(MAX_CALLER_WAIT);
     let (parts, body) = req.into_parts();
     let time_limit = deadline.saturating_sub(arrived);
     let body = tokio::select! {
@@ -165,6 +169,7 @@
         customer: customer.map(|c| c.name),
         arrived,
         deadline,
+        caller_waits_until: arrived + caller_wait,
         fingerprint,
         possible_runs: Cell::new(0),
         sends,
@@ -180,6 +185,7 @@
     headers.remove(header::EXPECT);
     headers.remove(ATTEMPTS_HEADER);
     headers.remove(CONFIG_HEADER);
+    headers.remove(CALLER_WAIT_HEADER);
     headers
 }
 
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -55,6 +55,9 @@
     pub arrived: Duration,
     /// Time by which the caller must have an answer, on the clock of the instance.
     pub deadline: Duration,
+    /// Time until which the caller waits, over all its attempts, on the clock of the instance. It may be later than
+    /// the deadline, which is also that of the route.
+    pub caller_waits_until: Duration,
     /// Hash of key, method, path and body, which identifies equal requests.
     pub fingerprint: Fingerprint,
     /// Number of sends that a backend server may have run: those under way, and those that ended without
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -122,6 +122,8 @@
     ForeignAnswer = 1524,
     /// Bodies or answers were refused or dropped, since the memory for them is used up.
     MemoryShort = 1525,
+    /// Records of streams were dropped, since too many waited for the store.
+    StreamRecordsDropped = 1526,
     /// All servers of a service have just refused requests, and a request waits for the first of them.
     ServersFull = 1540,
     /// A backend server refused a request or a control call; the fields show the connection.
@@ -132,7 +134,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 62] = [
+    pub const ALL: [Self; 63] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -192,6 +194,7 @@
         Self::StreamsLoaded,
         Self::ForeignAnswer,
         Self::MemoryShort,
+        Self::StreamRecordsDropped,
         Self::ServersFull,
         Self::ServerRefused,
         Self::LinesDropped,
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -36,6 +36,7 @@
 use crate::stream_origins;
 use crate::stream_run::StreamRun;
 use crate::suspects::{self, BrokenRun};
+use crate::version_notes;
 use crate::{EventCode, ServerHeaders};
 
 /// Number of requests of a decode to its engine: the reservation, and the decode or the release.
@@ -354,8 +355,7 @@
     /// Records that the first event of the stream came from an engine of a version.
     pub fn record_first_event(&mut self, version: &SmolStr) {
         self.version.get_or_insert_with(|| version.clone());
-        let attempt = self.req.headers.first_attempt();
-        stream_origins::record(&self.cx, &self.req.service, attempt, version);
+        stream_origins::record(&self.cx, &self.req, version);
     }
 
     /// Records that a server failed the request and may have run it.
@@ -607,6 +607,7 @@
                 return Err(self.refusal(ALL_EVACUATED));
             }
             if waiter.is_turn()
+                && self.can_be_taken_up()
                 && self.can_prefill_in_time()
                 && let Some(reservation) = self.request_reservation().await
             {
@@ -635,6 +636,18 @@
         }
     }
 
+    /// Whether the store lists the versions of the service for as long as the caller may take the stream up. If not,
+    /// it is about to.
+    fn can_be_taken_up(&self) -> bool {
+        let (cx, req) = (&self.cx, &self.req);
+        let is_listed = !req.route.is_resumable
+            || version_notes::await_callers(cx, &req.service, req.caller_waits_until);
+        if !is_listed {
+            cx.engine_versions_changed.notify_one();
+        }
+        is_listed
+    }
+
     /// Whether it is in vain to ask the engines: this instance reaches none of them, or probably none
     /// while another instance does.
     fn is_unreachable(&self) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jacinthlever_routing::{CallIdentity, HoldingUse, RouteKind};
+use jacinthlever_routing::{CallIdentity, HoldingUse, MIN_STREAM_RETENTION, RouteKind};
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
@@ -38,6 +38,10 @@
 /// Header of a relayed request with the version of the configuration under which it was admitted.
 pub const CONFIG_HEADER: HeaderName = HeaderName::from_static("jacinthlever-config");
 
+/// Header of a relayed request with the milliseconds for which its caller waits over all its attempts, if that is
+/// longer than streams are remembered anyway.
+pub const CALLER_WAIT_HEADER: HeaderName = HeaderName::from_static("jacinthlever-caller-wait-ms");
+
 /// Header of an answer to a relayed request that was not sent, since this instance reaches no server
 /// either or has an older configuration.
 pub const UNREACHED_HEADER: HeaderName = HeaderName::from_static("jacinthlever-unreached");
@@ -71,6 +75,8 @@
     pub attempts: u32,
     /// Version of the configuration under which the request was admitted.
     pub config: u64,
+    /// Time for which the caller waits over all its attempts; `None` if that is not stated.
+    pub caller_wait: Option<Duration>,
 }
 
 impl RelayTerms {
@@ -85,6 +91,7 @@
         Self {
             attempts: attempts.unwrap_or(1),
             config: number(CONFIG_HEADER).unwrap_or(0),
+            caller_wait: number(CALLER_WAIT_HEADER).map(Duration::from_millis),
         }
     }
 }
@@ -359,6 +366,11 @@
         }
         headers.insert(ATTEMPTS_HEADER, HeaderValue::from(attempts));
         headers.insert(CONFIG_HEADER, HeaderValue::from(req.config.version));
+        let wait = req.caller_waits_until.saturating_sub(cx.now());
+        if wait > MIN_STREAM_RETENTION {
+            let wait_ms = wait.as_millis() as u64;
+            headers.insert(CALLER_WAIT_HEADER, HeaderValue::from(wait_ms));
+        }
         *request.headers_mut() = headers;
         match connection.send(request, call).await {
             // The instance may have closed it while it was idle.
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -7,13 +7,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{KEEPERS, StreamId};
+use jacinthlever_routing::{
+    KEEPERS, MAX_CALLER_WAIT, MIN_STREAM_RETENTION, StreamId, StreamOrigin, retention_end,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::EventCode;
+use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::peers::Message;
 use crate::stream_records;
@@ -37,15 +40,27 @@
     /// Whether the receiver should record the stream in the store.
     #[serde(default)]
     for_store: bool,
+    /// Time for which the stream must be known, in milliseconds; builds up to 57e2313 do not state it.
+    #[serde(default)]
+    left_ms: Option<u64>,
 }
 
 impl StreamBegan {
-    /// Creates the message to an instance that should record the stream in the store.
-    pub fn for_store(stream: StreamId, version: &SmolStr) -> Self {
+    /// Creates the message to an instance that should record the stream in the store, where it must be known
+    /// for the time `left`.
+    pub fn for_store(stream: StreamId, origin: &StreamOrigin, left: Duration) -> Self {
         Self {
-            stream: stream.0,
-            version: version.clone(),
             for_store: true,
+            ..Self::new(stream, origin, left)
+        }
+    }
+
+    fn new(stream: StreamId, origin: &StreamOrigin, left: Duration) -> Self {
+        Self {
+            stream: stream.0,
+            version: origin.version.clone(),
+            for_store: false,
+            left_ms: Some(left.as_millis() as u64),
         }
     }
 }
@@ -64,11 +79,23 @@
     number: u64,
     /// The version; `None` if it is not known.
     version: Option<SmolStr>,
+    /// Time for which the stream must be known, in milliseconds; builds up to 57e2313 do not state it.
+    #[serde(default)]
+    left_ms: Option<u64>,
+}
+
+/// Where a stream began, and until when that must be known.
+type KnownOrigin = (StreamOrigin, Duration);
+
+/// Returns the time until which a stream must be known of which another instance has stated the time left.
+fn known_until(now: Duration, left_ms: Option<u64>) -> Duration {
+    let left = left_ms.map_or(MIN_STREAM_RETENTION, Duration::from_millis);
+    retention_end(now, now + left.min(MAX_CALLER_WAIT))
 }
 
 /// Calls of this instance that wait for answers.
 pub struct OriginCalls {
-    waiting: RefCell<BTreeMap<u64, mpsc::Sender<Option<SmolStr>>>>,
+    waiting: RefCell<BTreeMap<u64, mpsc::Sender<Option<KnownOrigin>>>>,
     next_number: Cell<u64>,
 }
 
@@ -90,38 +117,45 @@
     StreamId(u64::from_le_bytes(word))
 }
 
-/// Records, here and at the keepers of the stream, the version that began the stream whose first event
-/// an attempt brought. It is a stream of `service`.
-pub fn record(cx: &Context, service: &str, attempt: &str, version: &SmolStr) {
-    let stream = stream_id(attempt);
+/// Records, here and at the keepers of the stream, the version of the engine that gave the first event of the
+/// answer to a request. That is remembered for as long as the caller may take the stream up.
+pub fn record(cx: &Context, req: &CallerRequest, version: &SmolStr) {
+    let stream = stream_id(req.headers.first_attempt());
     let now = cx.now();
+    let until = retention_end(now, req.caller_waits_until);
+    let origin = StreamOrigin {
+        service: Some(req.service.clone()),
+        version: version.clone(),
+    };
     let mut state = cx.state.borrow_mut();
     state
         .stream_origins
-        .record_own(now, stream, version.clone());
+        .record_own(now, stream, origin.clone(), until);
     let keepers = state.members.keepers(stream.0, KEEPERS);
     drop(state);
     for keeper in keepers {
-        let began = StreamBegan {
-            stream: stream.0,
-            version: version.clone(),
-            for_store: false,
-        };
+        let began = StreamBegan::new(stream, &origin, until - now);
         cx.send(Message::StreamBegan(began), &keeper);
     }
-    stream_records::record(cx, service, stream, version);
+    stream_records::record(cx, req, stream, &origin, until);
 }
 
 /// Records what another instance says of a stream.
 pub fn handle_began(cx: &Context, began: StreamBegan) {
     let now = cx.now();
     let stream = StreamId(began.stream);
+    let until = known_until(now, began.left_ms);
+    let origin = StreamOrigin {
+        service: None,
+        version: began.version,
+    };
     let mut state = cx.state.borrow_mut();
-    let version = began.version;
-    state.stream_origins.record(now, stream, version.clone());
+    state
+        .stream_origins
+        .record(now, stream, origin.clone(), until);
     drop(state);
     if began.for_store {
-        stream_records::push(cx, stream, version);
+        stream_records::push(cx, stream, origin, until);
     }
 }
 
@@ -136,33 +170,41 @@
     let stream = stream_id(attempt);
     let (known, keepers) = {
         let state = cx.state.borrow();
-        let known = state.stream_origins.version(stream).cloned();
-        (known, state.members.keepers(stream.0, MAX_ASKED))
+        let known = state.stream_origins.find(stream);
+        let version = known.map(|(origin, _)| origin.version.clone());
+        (version, state.members.keepers(stream.0, MAX_ASKED))
     };
     if known.is_some() {
         return known;
     }
     let mut found = ask(cx, stream, &keepers).await;
-    if found.is_none() {
-        found = only_version(cx, service).await;
+    if found.is_none()
+        && let Some(version) = only_version(cx, service).await
+    {
+        let origin = StreamOrigin {
+            service: Some(service.into()),
+            version,
+        };
+        found = Some((origin, retention_end(cx.now(), Duration::ZERO)));
     }
     if found.is_none() && cx.state.borrow().pool.is_mixed(service) {
         found = find_in_store(cx, stream).await;
     }
-    if let Some(version) = &found {
+    let version = found.as_ref().map(|(origin, _)| origin.version.clone());
+    if let Some((origin, until)) = found {
         let now = cx.now();
         let mut state = cx.state.borrow_mut();
-        state.stream_origins.record(now, stream, version.clone());
+        state.stream_origins.record(now, stream, origin, until);
     }
     cx.log(
         EventCode::OriginAsked,
         [
             ("attempt", attempt.as_str().into()),
             ("asked", keepers.len().into()),
-            ("version", found.as_deref().into()),
+            ("version", version.as_deref().into()),
         ],
     );
-    found
+    version
 }
 
 /// Returns the version of all engines of a service at which a stream may have begun; `None` if there are
@@ -183,16 +225,16 @@
     }
 }
 
-async fn find_in_store(cx: &Rc<Context>, stream: StreamId) -> Option<SmolStr> {
+async fn find_in_store(cx: &Rc<Context>, stream: StreamId) -> Option<KnownOrigin> {
     match timeout(STORE_TIMEOUT, stream_records::load(cx)).await {
         Ok(Ok(())) => {}
         Ok(Err(error)) => log::debug!("records of streams not read: {error}"),
         Err(_) => log::debug!("records of streams not read in time"),
     }
-    cx.record_reader.version(stream)
+    cx.record_reader.find(stream)
 }
 
-async fn ask(cx: &Context, stream: StreamId, keepers: &[SmolStr]) -> Option<SmolStr> {
+async fn ask(cx: &Context, stream: StreamId, keepers: &[SmolStr]) -> Option<KnownOrigin> {
     if keepers.is_empty() {
         return None;
     }
@@ -209,8 +251,8 @@
     }
     let answers = async {
         for _ in keepers {
-            if let Some(Some(version)) = rx.recv().await {
-                return Some(version);
+            if let Some(Some(origin)) = rx.recv().await {
+                return Some(origin);
             }
         }
         None
@@ -222,11 +264,14 @@
 
 /// Answers the call of another instance.
 pub fn handle_call(cx: &Context, call: OriginCall, from: SocketAddr) {
+    let now = cx.now();
     let state = cx.state.borrow();
-    let version = state.stream_origins.version(StreamId(call.stream));
+    let known = state.stream_origins.find(StreamId(call.stream));
+    let left_ms = known.map(|(_, until)| until.saturating_sub(now).as_millis() as u64);
     let answer = OriginAnswer {
         number: call.number,
-        version: version.cloned(),
+        version: known.map(|(origin, _)| origin.version.clone()),
+        left_ms,
     };
     drop(state);
     cx.permits.send(Message::OriginAnswer(answer), from);
@@ -234,8 +279,13 @@
 
 /// Passes an answer on to the call that waits for it.
 pub fn handle_answer(cx: &Context, answer: OriginAnswer) {
+    let until = known_until(cx.now(), answer.left_ms);
+    let origin = answer.version.map(|version| StreamOrigin {
+        service: None,
+        version,
+    });
     if let Some(tx) = cx.origin_calls.waiting.borrow().get(&answer.number) {
         // The call may have its answer already.
-        let _ = tx.try_send(answer.version);
+        let _ = tx.try_send(origin.map(|origin| (origin, until)));
     }
 }
--- a/crates/gateway/src/stream_records.rs
+++ b/crates/gateway/src/stream_records.rs
@@ -5,17 +5,18 @@
 //! delegate of its zone, which writes those of many streams at once.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{Delegate, JournalRow, StreamId};
+use jacinthlever_routing::{Delegate, JournalRow, StreamId, StreamOrigin, retention_end};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::Mutex;
 use tokio::time::sleep;
 
 use crate::backoff::Backoff;
+use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::peers::Message;
 use crate::store::{StoreClient, StoreError, WriteResult};
@@ -30,10 +31,14 @@
 /// Minimum time between two reads of all records.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time from `since_ms` for which a row is needed.
+const ROW_RETENTION: Duration = Duration::from_secs(65);
+
 /// Row of [`Table::Streams`].
 #[derive(Debug, Deserialize, Serialize)]
 struct StreamsRow {
-    /// Time of the store's clock at which the first of the streams began, in milliseconds.
+    /// [`ROW_RETENTION`] before the time of the store's clock until which the row is needed, in milliseconds. Builds
+    /// up to 57e2313 write the time at which the first of the streams began.
     since_ms: u64,
     /// Streams by the version that began them.
     streams: BTreeMap<SmolStr, Vec<u64>>,
@@ -44,58 +49,80 @@
 pub struct RecordReader {
     /// The client, and when the last successful read began.
     reads: Mutex<(Option<StoreClient>, Option<Duration>)>,
-    /// Streams of the last read by version, in order.
-    streams: RefCell<BTreeMap<SmolStr, Vec<u64>>>,
+    /// Streams of the last read by where they began: in order, each with the time until which it must be known.
+    streams: RefCell<BTreeMap<StreamOrigin, Vec<(u64, Duration)>>>,
 }
 
 impl RecordReader {
-    /// Returns the version that began a stream, according to the last read.
-    pub fn version(&self, stream: StreamId) -> Option<SmolStr> {
+    /// Returns where a stream began and until when that must be known, according to the last read.
+    pub fn find(&self, stream: StreamId) -> Option<(StreamOrigin, Duration)> {
         let streams = self.streams.borrow();
-        let mut versions = streams.iter();
-        let found = versions.find(|(_, streams)| streams.binary_search(&stream.0).is_ok());
-        found.map(|(version, _)| version.clone())
+        streams.iter().find_map(|(origin, streams)| {
+            let found = streams.binary_search_by_key(&stream.0, |(number, _)| *number);
+            Some((origin.clone(), streams[found.ok()?].1))
+        })
     }
 }
 
-/// Has a stream recorded in the store if the versions of its service's engines differ.
-pub fn record(cx: &Context, service: &str, stream: StreamId, version: &SmolStr) {
-    if cx.state.borrow().pool.is_mixed(service) {
-        send(cx, stream, version);
+/// Has a stream recorded in the store, where it must be known until a time, if the versions of its service's
+/// engines differ.
+pub fn record(
+    cx: &Context,
+    req: &CallerRequest,
+    stream: StreamId,
+    origin: &StreamOrigin,
+    until: Duration,
+) {
+    if cx.state.borrow().pool.is_mixed(&req.service) {
+        send(cx, stream, origin, until);
     }
 }
 
-/// Has the streams recorded that began here before there was a reason to record them.
-pub fn record_earlier(cx: &Context) {
+/// Has the streams of services recorded that began here before there was a reason to record them.
+pub fn record_earlier(cx: &Context, services: &BTreeSet<SmolStr>) {
+    let is_meant = |origin: &StreamOrigin| {
+        let service = origin.service.as_ref();
+        service.is_none_or(|service| services.contains(service))
+    };
     let earlier: Vec<_> = {
         let state = cx.state.borrow();
         let own = state.stream_origins.own();
-        own.map(|(stream, version)| (stream, version.clone()))
+        own.filter(|(_, origin, _)| is_meant(origin))
+            .map(|(stream, origin, until)| (stream, origin.clone(), until))
             .collect()
     };
-    for (stream, version) in earlier {
-        send(cx, stream, &version);
+    for (stream, origin, until) in earlier {
+        send(cx, stream, &origin, until);
     }
 }
 
-fn send(cx: &Context, stream: StreamId, version: &SmolStr) {
+fn send(cx: &Context, stream: StreamId, origin: &StreamOrigin, until: Duration) {
+    let now = cx.now();
     let delegate = {
         let state = cx.state.borrow();
-        state.members.delegate_of(cx.now(), &cx.settings().zone)
+        state.members.delegate_of(now, &cx.settings().zone)
     };
-    let began = StreamBegan::for_store(stream, version);
+    let left = until.saturating_sub(now);
     match delegate {
-        Delegate::Own => push(cx, stream, version.clone()),
-        Delegate::Peer(address) => cx.send(Message::StreamBegan(began), &address),
+        Delegate::Own => push(cx, stream, origin.clone(), until),
+        Delegate::Peer(address) => {
+            let began = StreamBegan::for_store(stream, origin, left);
+            cx.send(Message::StreamBegan(began), &address);
+        }
     }
 }
 
 /// Adds a record to those that this instance writes to the store.
-pub fn push(cx: &Context, stream: StreamId, version: SmolStr) {
+pub fn push(cx: &Context, stream: StreamId, origin: StreamOrigin, until: Duration) {
     let now = cx.now();
     let mut state = cx.state.borrow_mut();
-    state.stream_journal.push(now, stream, version);
+    state.stream_journal.push(now, stream, origin, until);
+    let dropped = state.stream_journal.take_dropped();
     drop(state);
+    if dropped > 0 {
+        let fields = [("streams", dropped.into())];
+        cx.log(EventCode::StreamRecordsDropped, fields);
+    }
     cx.streams_recorded.notify_one();
 }
 
@@ -108,7 +135,7 @@
     loop {
         tokio::select! {
             () = cx.streams_recorded.notified() => {}
-            _ = restored.changed() => cx.state.borrow_mut().stream_journal.write_again(),
+            _ = restored.changed() => cx.state.borrow_mut().stream_journal.write_again(cx.now()),
         }
         loop {
             let row = cx.state.borrow_mut().stream_journal.next_row();
@@ -143,14 +170,16 @@
     expected: u64,
 ) -> Result<WriteResult, StoreError> {
     // The clock is known, since the servers were read before a stream could begin.
-    let since_ms = cx.state.borrow().store_clock.to_store(row.since);
-    let streams = row.streams.iter().map(|(version, streams)| {
-        let streams = streams.iter().map(|stream| stream.0).collect();
-        (version.clone(), streams)
-    });
+    let until_ms = cx.state.borrow().store_clock.to_store(row.until);
+    let mut streams: BTreeMap<SmolStr, Vec<u64>> = BTreeMap::new();
+    for (origin, numbers) in &row.streams {
+        let list = streams.entry(origin.version.clone()).or_default();
+        list.extend(numbers.iter().map(|stream| stream.0));
+    }
+    let retention_ms = ROW_RETENTION.as_millis() as u64;
     let content = StreamsRow {
-        since_ms: since_ms.unwrap_or_default(),
-        streams: streams.collect(),
+        since_ms: until_ms.unwrap_or_default().saturating_sub(retention_ms),
+        streams,
     };
     let mut value = Vec::new();
     ciborium::into_writer(&content, &mut value)
@@ -180,11 +209,18 @@
     let client = client.get_or_insert_with(|| StoreClient::new(cx.clone(), "origins"));
     let rows = client.read(Table::Streams).await?;
     *last = Some(now);
-    let mut streams: BTreeMap<SmolStr, Vec<u64>> = BTreeMap::new();
+    let mut streams: BTreeMap<StreamOrigin, Vec<(u64, Duration)>> = BTreeMap::new();
     let decoded = rows.rows.iter();
     for row in decoded.filter_map(|row| decode(cx, row, rows.store_ms)) {
+        let left = row.since_ms.saturating_sub(rows.store_ms);
+        let until = retention_end(now, now + Duration::from_millis(left) + ROW_RETENTION);
         for (version, numbers) in row.streams {
-            streams.entry(version).or_default().extend(numbers);
+            let origin = StreamOrigin {
+                service: None,
+                version,
+            };
+            let list = streams.entry(origin).or_default();
+            list.extend(numbers.into_iter().map(|number| (number, until)));
         }
     }
     streams
@@ -224,7 +260,7 @@
     match ciborium::from_reader::<StreamsRow, _>(value.as_slice()) {
         Ok(decoded) => {
             let age = Duration::from_millis(store_ms.saturating_sub(decoded.since_ms));
-            Some(decoded).filter(|_| !JournalRow::is_outdated(age))
+            Some(decoded).filter(|_| age <= ROW_RETENTION)
         }
         Err(error) => {
             log_unreadable_row(cx, row, error.to_string());
--- a/crates/gateway/src/version_notes.rs
+++ b/crates/gateway/src/version_notes.rs
@@ -1,11 +1,11 @@
 //! Keeps the list of the software versions of engines in the store, from which instances that start
 //! know at which versions streams may have begun; see `docs/design/stream-versions.md`.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::Versions;
+use jacinthlever_routing::{Listed, MIN_STREAM_RETENTION, RouteKind, Versions, retention_end};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::Mutex;
@@ -35,6 +35,29 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct VersionsRow {
     versions: BTreeSet<SmolStr>,
+    /// Until when callers may take up streams of a version, by the store's clock in milliseconds, where they wait
+    /// for longer than streams are remembered anyway. Builds up to 57e2313 neither read nor write it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    until_ms: BTreeMap<SmolStr, u64>,
+}
+
+impl VersionsRow {
+    fn new(list: &Listed) -> Self {
+        let awaited = list.iter().filter(|(_, until_ms)| **until_ms > 0);
+        Self {
+            versions: list.keys().cloned().collect(),
+            until_ms: awaited.map(|(name, ms)| (name.clone(), *ms)).collect(),
+        }
+    }
+
+    fn into_list(self) -> Listed {
+        let versions = self.versions.into_iter();
+        let with_time = versions.map(|name| {
+            let until_ms = self.until_ms.get(&name).copied();
+            (name, until_ms.unwrap_or_default())
+        });
+        with_time.collect()
+    }
 }
 
 /// Reader of the list for streams of which no instance knows.
@@ -75,13 +98,17 @@
     while read(&cx, &mut client).await.is_err() {
         sleep(backoff.next_delay(cx.random())).await;
     }
-    let mut was_mixed = false;
+    let mut recorded = BTreeSet::new();
     loop {
-        let is_mixed = cx.state.borrow().pool.is_any_mixed();
-        if is_mixed && !was_mixed {
-            stream_records::record_earlier(&cx);
+        plan_for_routes(&cx);
+        let (now, store_ms) = (cx.now(), store_ms(&cx));
+        cx.state.borrow_mut().pool.forget_versions(now, store_ms);
+        let mixed = cx.state.borrow().pool.mixed_services();
+        let newly_mixed: BTreeSet<_> = mixed.difference(&recorded).cloned().collect();
+        if !newly_mixed.is_empty() {
+            stream_records::record_earlier(&cx, &newly_mixed);
         }
-        was_mixed = is_mixed;
+        recorded = mixed;
         let must_read = restored.has_changed().unwrap_or(false);
         restored.mark_unchanged();
         if must_read || !changes(&cx).is_empty() {
@@ -97,7 +124,44 @@
 
 /// Returns the lists that the store should have and does not.
 fn changes(cx: &Context) -> Versions {
-    cx.state.borrow().pool.note_changes(cx.now())
+    let store_ms = store_ms(cx);
+    cx.state.borrow().pool.note_changes(cx.now(), store_ms)
+}
+
+/// Returns the time of the store's clock, 0 before its first answer: nothing is forgotten by then.
+fn store_ms(cx: &Context) -> u64 {
+    let clock = cx.state.borrow().store_clock;
+    clock.to_store(cx.now()).unwrap_or_default()
+}
+
+/// Has the store list versions for as long as callers may take up streams that begin now on routes with long
+/// time limits, so that their streams need not wait for it.
+fn plan_for_routes(cx: &Context) {
+    let config = cx.state.borrow().config.clone();
+    let routes = config.iter().flat_map(|config| &config.routes);
+    let routes = routes.filter(|r| r.kind == RouteKind::Stream && r.is_resumable);
+    for route in routes {
+        for destination in &route.destinations {
+            await_callers(cx, &destination.service, cx.now() + route.timeout);
+        }
+    }
+}
+
+/// Has the store list the versions of a service for as long as a caller may take up a stream that begins now,
+/// and returns whether it does. The caller waits until `waits_until`.
+pub fn await_callers(cx: &Context, service: &str, waits_until: Duration) -> bool {
+    let now = cx.now();
+    let until = retention_end(now, waits_until);
+    let mut state = cx.state.borrow_mut();
+    if until <= now + MIN_STREAM_RETENTION {
+        return true;
+    }
+    let Some(until_ms) = state.store_clock.to_store(until) else {
+        return false;
+    };
+    let wait_ms = (until - now).as_millis() as u64;
+    state.pool.await_callers(service, until_ms, wait_ms);
+    state.pool.is_listed_until(service, until_ms)
 }
 
 /// Reads the list, and writes what it lacks. The delegate of the fleet does so at once, the others only
@@ -125,11 +189,8 @@
     let rows = read(cx, client).await?;
     let mut result = WriteResult::Done(0);
     for (service, versions) in changes(cx) {
-        let row = VersionsRow {
-            versions: versions.clone(),
-        };
-        let value =
-            serde_json::to_vec(&row).map_err(|error| StoreError::Unreadable(error.to_string()))?;
+        let value = serde_json::to_vec(&VersionsRow::new(&versions))
+            .map_err(|error| StoreError::Unreadable(error.to_string()))?;
         let known = rows.iter().find(|row| row.key == service);
         let write = RowWrite {
             table: Table::Versions,
@@ -150,8 +211,8 @@
     Ok(result)
 }
 
-fn record_written(cx: &Rc<Context>, service: SmolStr, versions: BTreeSet<SmolStr>, row: u64) {
-    let names: Vec<&str> = versions.iter().map(SmolStr::as_str).collect();
+fn record_written(cx: &Rc<Context>, service: SmolStr, versions: Listed, row: u64) {
+    let names: Vec<&str> = versions.keys().map(SmolStr::as_str).collect();
     cx.log(
         EventCode::VersionsListed,
         [
@@ -177,9 +238,9 @@
 }
 
 /// Decodes a row; one that cannot be decoded is written again with the versions in use.
-fn decode(cx: &Context, row: &Row) -> Option<(SmolStr, BTreeSet<SmolStr>)> {
+fn decode(cx: &Context, row: &Row) -> Option<(SmolStr, Listed)> {
     match serde_json::from_slice::<VersionsRow>(row.value.as_ref()?) {
-        Ok(decoded) => Some((row.key.clone(), decoded.versions)),
+        Ok(decoded) => Some((row.key.clone(), decoded.into_list())),
         Err(error) => {
             log_unreadable_row(cx, row, error.to_string());
             None
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -87,7 +87,9 @@
 pub use stale_rows::StaleRows;
 pub use store_watch::StoreWatch;
 pub use stream_journal::{JournalRow, StreamJournal};
-pub use stream_origins::{STREAM_RETENTION, StreamId, StreamOrigins};
+pub use stream_origins::{
+    MAX_CALLER_WAIT, MIN_STREAM_RETENTION, StreamId, StreamOrigin, StreamOrigins, retention_end,
+};
 pub use suspect_parts::{Crash, CrashId, PartEvidence, QuarantinedParts, SuspectParts};
 pub use suspect_requests::{Fingerprint, SuspectRequests};
-pub use version_notes::{VersionNotes, Versions};
+pub use version_notes::{Listed, VersionNotes, Versions};
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     CallOutcome, ColdChange, EngineRole, EvacuationStatement, Evacuations, LimitChange,
-    LimitStatement, LoadOrigin, LoadStatement, Server, ServerEntry, ServerKey, ServerState,
-    VersionNotes, Versions,
+    LimitStatement, Listed, LoadOrigin, LoadStatement, MIN_STREAM_RETENTION, Server, ServerEntry,
+    ServerKey, ServerState, VersionNotes, Versions,
 };
 
 /// Time for which a registration is still used that expired while the store was unreachable.
@@ -19,9 +19,9 @@
 /// is only seconds old.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
-/// Time for which the version of servers that are gone is remembered: streams that they began may be
-/// taken up that long.
-const VERSION_RETENTION: Duration = Duration::from_secs(60);
+/// Shortest time for which the version of servers that are gone is remembered. It is longer if callers may
+/// take up streams for longer; see [`ServerPool::await_callers`].
+const VERSION_RETENTION: Duration = MIN_STREAM_RETENTION;
 
 /// Cost of a server in another zone, in the unit of the load: 1 is the load of a server whose slots
 /// are all in use.
@@ -125,6 +125,26 @@
     }
 }
 
+/// Callers that may take up streams for longer than [`VERSION_RETENTION`].
+#[derive(Clone, Copy, Debug, Default)]
+struct AwaitedCallers {
+    /// The last of their deadlines, by the store's clock in milliseconds.
+    until_ms: u64,
+    /// Time from the beginning of their streams to their deadlines, in milliseconds.
+    wait_ms: u64,
+}
+
+impl AwaitedCallers {
+    /// Returns the time that the store should list, given the one that it lists. It is written ahead of need, so
+    /// that not every stream needs a write, nor waits for one.
+    fn wanted_ms(self, listed_ms: u64) -> u64 {
+        match self.until_ms + self.wait_ms / 2 <= listed_ms {
+            true => listed_ms,
+            false => self.until_ms + self.wait_ms,
+        }
+    }
+}
+
 /// The backend servers of all services.
 #[derive(Debug, Default)]
 pub struct ServerPool {
@@ -134,6 +154,9 @@
     removed: BTreeMap<SmolStr, (Option<u64>, Duration)>,
     /// When a server of a service with a version was last registered, by service and version.
     versions: BTreeMap<(SmolStr, SmolStr), Duration>,
+    /// Until when callers may take up streams that begin now, where that is later than after
+    /// [`VERSION_RETENTION`]; by the same keys as `versions`.
+    awaited: BTreeMap<(SmolStr, SmolStr), AwaitedCallers>,
     /// Versions that the store lists; `None` if they are not kept there.
     notes: Option<VersionNotes>,
     /// Zones whose servers get no requests.
@@ -214,22 +237,67 @@
         self.notes.as_mut()
     }
 
-    /// Returns the lists of versions that the store should have and does not.
-    pub fn note_changes(&self, now: Duration) -> Versions {
+    /// Records that a caller may take up a stream of a service until `until_ms`, by the store's clock, which is
+    /// `wait_ms` after the stream began. Not needed for less than [`VERSION_RETENTION`].
+    pub fn await_callers(&mut self, service: &str, until_ms: u64, wait_ms: u64) {
+        let servers = self.servers.values().map(|server| &server.entry);
+        let engines = servers.filter(|e| e.role.is_some() && e.service == service);
+        let keys = engines.map(|e| (e.service.clone(), e.version.clone()));
+        for key in keys {
+            let awaited = self.awaited.entry(key).or_default();
+            awaited.until_ms = awaited.until_ms.max(until_ms);
+            awaited.wait_ms = wait_ms;
+        }
+    }
+
+    /// Whether the store lists all versions at which a stream of a service may begin now for as long as a caller
+    /// may take it up that waits until `until_ms`, by the store's clock.
+    pub fn is_listed_until(&self, service: &str, until_ms: u64) -> bool {
+        let Some(notes) = &self.notes else {
+            return true;
+        };
+        let servers = self.servers.values().map(|server| &server.entry);
+        let mut engines = servers.filter(|e| e.role.is_some() && e.service == service);
+        engines.all(|e| {
+            let is_left_out = !notes.may_begin(service, &e.version);
+            is_left_out || notes.stored_until(service, &e.version) >= until_ms
+        })
+    }
+
+    /// Returns the lists of versions that the store should have and does not; `store_ms` is the
+    /// time of its clock.
+    pub fn note_changes(&self, now: Duration, store_ms: u64) -> Versions {
         let Some(notes) = &self.notes else {
             return Versions::new();
         };
         let mut in_use = Versions::new();
-        for server in self.servers.values().filter(|s| s.entry.role.is_some()) {
-            let versions = in_use.entry(server.entry.service.clone()).or_default();
-            versions.insert(server.entry.version.clone());
+        let servers = self.servers.values().map(|server| &server.entry);
+        let engines = servers.filter(|e| e.role.is_some());
+        let versions = engines.map(|e| (e.service.clone(), e.version.clone()));
+        for key in versions {
+            let listed_ms = notes.stored_until(&key.0, &key.1);
+            let awaited = self.awaited.get(&key);
+            let wanted_ms = awaited.map_or(0, |awaited| awaited.wanted_ms(listed_ms));
+            let list: &mut Listed = in_use.entry(key.0).or_default();
+            list.insert(key.1, wanted_ms);
         }
-        for (service, version) in self.versions.keys() {
-            if let Some(versions) = in_use.get_mut(service) {
-                versions.insert(version.clone());
+        for (subject, name) in self.versions.keys() {
+            if let Some(list) = in_use.get_mut(subject) {
+                list.entry(name.clone()).or_default();
             }
         }
-        notes.changes(&in_use, now >= VERSION_RETENTION)
+        notes.changes(&in_use, now >= VERSION_RETENTION, store_ms)
+    }
+
+    /// Forgets versions that the store no longer lists; `store_ms` is the time of its clock.
+    pub fn forget_versions(&mut self, now: Duration, store_ms: u64) {
+        self.awaited
+            .retain(|_, awaited| store_ms < awaited.until_ms);
+        if now >= VERSION_RETENTION
+            && let Some(notes) = &mut self.notes
+        {
+            notes.forget_removed(store_ms);
+        }
     }
 
     /// Whether it is known which versions of a service served lately.
@@ -242,11 +310,17 @@
         self.versions(service).len() > 1
     }
 
+    /// Returns the services with engines whose streams may have begun at several versions.
+    pub fn mixed_services(&self) -> BTreeSet<SmolStr> {
+        let engines = self.servers.values().filter(|s| s.entry.role.is_some());
+        let services: BTreeSet<_> = engines.map(|s| s.entry.service.clone()).collect();
+        let mixed = services.into_iter().filter(|s| self.is_mixed(s));
+        mixed.collect()
+    }
+
     /// Whether streams of any service with engines may have begun at several versions.
     pub fn is_any_mixed(&self) -> bool {
-        let engines = self.servers.values().filter(|s| s.entry.role.is_some());
-        let services: BTreeSet<_> = engines.map(|s| &s.entry.service).collect();
-        services.into_iter().any(|service| self.is_mixed(service))
+        !self.mixed_services().is_empty()
     }
 
     /// Adds or updates a registration.
@@ -389,7 +463,8 @@
         let registered = registered
             .filter(|entry| entry.service == service)
             .map(|entry| &entry.version);
-        let noted = self.notes.iter().flat_map(|notes| notes.versions(service));
+        let noted = self.notes.iter().flat_map(|notes| notes.listed(service));
+        let noted = noted.map(|(version, _)| version);
         lately.chain(registered).chain(noted).collect()
     }
 
--- a/crates/routing/src/stream_journal.rs
+++ b/crates/routing/src/stream_journal.rs
@@ -1,11 +1,9 @@
-//! Streams and the versions that began them, in the portions in which they are written to the store.
+//! Streams and where they began, in the portions in which they are written to the store.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use smol_str::SmolStr;
-
-use crate::{STREAM_RETENTION, StreamId};
+use crate::{StreamId, StreamOrigin};
 
 /// Time for which records are added to the same row.
 const ROW_TIME: Duration = Duration::from_secs(5);
@@ -13,9 +11,16 @@
 /// Maximum number of streams in one row, which is far below the store's limit of a row's size.
 const MAX_ROW_STREAMS: usize = 2000;
 
-/// Number of rows, which are written in turn: the oldest one is replaced after its records are no
-/// longer needed.
-const ROWS: u32 = 14;
+/// Maximum number of rows. One row per [`ROW_TIME`] covers the longest deadline that is followed; with more, the
+/// row whose callers give up first is replaced.
+const MAX_ROWS: usize = 1024;
+
+/// Maximum number of streams in complete rows that wait to be written, such as while the store is away.
+const MAX_WAITING_STREAMS: usize = 32 * 1024;
+
+/// Time for which the content of a complete row is kept here. A store that comes back from a copy has lost what
+/// was written in the last seconds.
+const REWRITE_PERIOD: Duration = Duration::from_secs(30);
 
 /// Records that belong in one row.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -24,8 +29,10 @@
     pub index: u32,
     /// When its first record was added.
     pub since: Duration,
-    /// Streams by the version that began them.
-    pub streams: BTreeMap<SmolStr, Vec<StreamId>>,
+    /// When the last of its streams may be forgotten.
+    pub until: Duration,
+    /// Streams by where they began.
+    pub streams: BTreeMap<StreamOrigin, Vec<StreamId>>,
 }
 
 impl JournalRow {
@@ -38,11 +45,14 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+}
 
-    /// Whether no record of a row is needed any longer that was begun `age` ago.
-    pub fn is_outdated(age: Duration) -> bool {
-        age > ROW_TIME + STREAM_RETENTION
-    }
+/// A complete row of the store.
+#[derive(Clone, Debug)]
+struct CompleteRow {
+    until: Duration,
+    /// When it was completed, and its content for [`REWRITE_PERIOD`] from then.
+    content: Option<(Duration, JournalRow)>,
 }
 
 /// Records of streams that this instance writes to the store.
@@ -54,34 +64,84 @@
     row: JournalRow,
     /// Whether the row has records that were not written.
     has_news: bool,
-    /// Rows that were complete before they were written.
-    complete: VecDeque<JournalRow>,
+    /// Complete rows that wait to be written.
+    waiting: VecDeque<JournalRow>,
+    /// Complete rows whose streams may still be taken up, by index.
+    complete: BTreeMap<u32, CompleteRow>,
+    /// Number of streams that were dropped since they waited with too many others.
+    dropped: usize,
 }
 
 impl StreamJournal {
-    /// Adds the record of a stream.
-    pub fn push(&mut self, now: Duration, stream: StreamId, version: SmolStr) {
+    /// Adds the record of a stream that must be known until a time.
+    pub fn push(&mut self, now: Duration, stream: StreamId, origin: StreamOrigin, until: Duration) {
         let is_over = now >= self.row.since + ROW_TIME || self.row.len() >= MAX_ROW_STREAMS;
         if self.row.is_empty() {
             self.row.since = now;
         } else if is_over {
-            let next = JournalRow {
-                index: (self.row.index + 1) % ROWS,
-                since: now,
-                ..JournalRow::default()
-            };
-            let last = std::mem::replace(&mut self.row, next);
-            if self.has_news {
-                self.complete.push_back(last);
-            }
+            self.complete_row(now);
         }
-        self.row.streams.entry(version).or_default().push(stream);
+        self.row.until = self.row.until.max(until);
+        self.row.streams.entry(origin).or_default().push(stream);
         self.has_news = true;
     }
 
+    fn complete_row(&mut self, now: Duration) {
+        let row = std::mem::take(&mut self.row);
+        if std::mem::take(&mut self.has_news) {
+            self.waiting.push_back(row.clone());
+            self.limit_waiting(now);
+        }
+        let complete = CompleteRow {
+            until: row.until,
+            content: Some((now, row.clone())),
+        };
+        self.complete.insert(row.index, complete);
+        self.complete.retain(|_, row| now < row.until);
+        for row in self.complete.values_mut() {
+            row.content
+                .take_if(|(since, _)| now >= *since + REWRITE_PERIOD);
+        }
+        if self.complete.len() >= MAX_ROWS {
+            let first = self.complete.iter().min_by_key(|(_, row)| row.until);
+            if let Some(first) = first.map(|(index, _)| *index) {
+                self.complete.remove(&first);
+            }
+        }
+        self.row = JournalRow {
+            index: self.free_index(),
+            since: now,
+            ..JournalRow::default()
+        };
+    }
+
+    fn free_index(&self) -> u32 {
+        let free = (0..).find(|index| !self.complete.contains_key(index));
+        free.unwrap_or_default()
+    }
+
+    /// Drops waiting rows that nobody needs any longer and, if there are still too many, those whose callers
+    /// give up first.
+    fn limit_waiting(&mut self, now: Duration) {
+        self.waiting.retain(|row| now < row.until);
+        while self.waiting.iter().map(JournalRow::len).sum::<usize>() > MAX_WAITING_STREAMS {
+            let rows = self.waiting.iter().enumerate();
+            let Some((first, _)) = rows.min_by_key(|(_, row)| row.until) else {
+                return;
+            };
+            let row = self.waiting.remove(first);
+            self.dropped += row.map_or(0, |row| row.len());
+        }
+    }
+
+    /// Returns the number of streams that were dropped since the last call because too many waited.
+    pub fn take_dropped(&mut self) -> usize {
+        std::mem::take(&mut self.dropped)
+    }
+
     /// Returns the next row to be written; `None` if all records are written.
     pub fn next_row(&mut self) -> Option<JournalRow> {
-        if let Some(row) = self.complete.pop_front() {
+        if let Some(row) = self.waiting.pop_front() {
             return Some(row);
         }
         std::mem::take(&mut self.has_news).then(|| self.row.clone())
@@ -92,25 +152,40 @@
         if row.index == self.row.index {
             self.has_news = true;
         } else {
-            self.complete.push_front(row);
+            self.waiting.push_front(row);
         }
     }
 
-    /// Puts the records of a row into the next one, since the store has something else in its place than
+    /// Puts the records of a row into another one, since the store has something else in its place than
     /// was last written: a write that got no answer may be carried out after a later one.
     pub fn move_on(&mut self, row: JournalRow) {
+        let taken = CompleteRow {
+            until: row.until,
+            content: None,
+        };
+        self.complete.insert(row.index, taken);
+        self.row.since = self.row.since.min(row.since);
+        self.row.until = self.row.until.max(row.until);
         if row.index != self.row.index {
-            for (version, streams) in row.streams {
-                self.row.streams.entry(version).or_default().extend(streams);
+            for (origin, streams) in row.streams {
+                self.row.streams.entry(origin).or_default().extend(streams);
             }
         }
-        self.row.since = self.row.since.min(row.since);
-        self.row.index = (self.row.index + 1) % ROWS;
+        let is_free = |index: &u32| *index != self.row.index && !self.complete.contains_key(index);
+        self.row.index = (0..).find(is_free).unwrap_or_default();
         self.has_news = true;
     }
 
-    /// Has the last row written again, since the store may have lost it.
-    pub fn write_again(&mut self) {
+    /// Has the rows of the last [`REWRITE_PERIOD`] written again, since the store may have lost them.
+    pub fn write_again(&mut self, now: Duration) {
         self.has_news = !self.row.is_empty();
+        for row in self.complete.values() {
+            if let Some((since, content)) = &row.content
+                && now < *since + REWRITE_PERIOD
+                && self.waiting.iter().all(|w| w.index != content.index)
+            {
+                self.waiting.push_back(content.clone());
+            }
+        }
     }
 }
--- a/crates/routing/src/stream_origins.rs
+++ b/crates/routing/src/stream_origins.rs
@@ -1,15 +1,21 @@
-//! Software versions of the engines that began streams.
+//! Where streams began: the service and the software version of the engine.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
-/// Time for which a stream is remembered after it began or went on; callers take it up within the
-/// deadline of their first attempt.
-pub const STREAM_RETENTION: Duration = Duration::from_secs(60);
+/// Shortest time for which it is remembered where a stream began, whatever deadline its caller has.
+pub const MIN_STREAM_RETENTION: Duration = Duration::from_secs(60);
 
-/// Maximum number of streams that are remembered; the oldest is forgotten first.
+/// Longest deadline of a caller that is followed. A caller may state any, and what is remembered of its stream
+/// takes memory here and writes to the store until then.
+pub const MAX_CALLER_WAIT: Duration = Duration::from_secs(3600);
+
+/// Time added to a caller's deadline: the caller counts it from an earlier moment, and on another clock.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(5);
+
+/// Maximum number of streams that are remembered; the one whose caller gives up first is forgotten first.
 const MAX_STREAMS: usize = 16 * 1024;
 
 /// Hash of the identifier of the attempt that brought the first event of a stream.
@@ -23,65 +29,99 @@
     }
 }
 
+/// Where a stream began, and the only place where it may go on.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StreamOrigin {
+    /// Service of the engine; `None` if an instance that does not record it (builds up to 57e2313) has said
+    /// where the stream began.
+    pub service: Option<SmolStr>,
+    /// Software version of the engine.
+    pub version: SmolStr,
+}
+
 #[derive(Clone, Debug)]
 struct Record {
-    version: SmolStr,
-    at: Duration,
+    origin: StreamOrigin,
+    until: Duration,
     /// Whether the stream began at this instance.
     is_own: bool,
 }
 
-/// The version of the engine that began each stream, which is the only one that can continue it.
+/// Where each stream began, for as long as its caller may take it up.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
-    versions: BTreeMap<StreamId, Record>,
-    /// Streams in the order in which they were recorded; one may be listed several times.
-    recorded: VecDeque<(Duration, StreamId)>,
+    records: BTreeMap<StreamId, Record>,
+    /// The same streams in the order in which they may be forgotten.
+    by_end: BTreeSet<(Duration, StreamId)>,
+}
+
+/// Returns the time until which a stream must be known whose caller waits until `deadline`.
+pub fn retention_end(now: Duration, deadline: Duration) -> Duration {
+    let wait = deadline.saturating_sub(now).min(MAX_CALLER_WAIT) + DEADLINE_MARGIN;
+    now + wait.max(MIN_STREAM_RETENTION)
 }
 
 impl StreamOrigins {
-    /// Records the version that began a stream.
-    pub fn record(&mut self, now: Duration, stream: StreamId, version: SmolStr) {
-        self.insert(now, stream, version, false);
+    /// Records where a stream began, until a time given by [`retention_end`].
+    pub fn record(
+        &mut self,
+        now: Duration,
+        stream: StreamId,
+        origin: StreamOrigin,
+        until: Duration,
+    ) {
+        self.insert(now, stream, origin, until, false);
     }
 
-    /// Records the version that began a stream at this instance.
-    pub fn record_own(&mut self, now: Duration, stream: StreamId, version: SmolStr) {
-        self.insert(now, stream, version, true);
+    /// Records where a stream began that a caller of this instance has received.
+    pub fn record_own(
+        &mut self,
+        now: Duration,
+        stream: StreamId,
+        origin: StreamOrigin,
+        until: Duration,
+    ) {
+        self.insert(now, stream, origin, until, true);
     }
 
-    /// Returns the streams that began at this instance, and their versions.
-    pub fn own(&self) -> impl Iterator<Item = (StreamId, &SmolStr)> {
-        let own = self.versions.iter().filter(|(_, record)| record.is_own);
-        own.map(|(stream, record)| (*stream, &record.version))
+    /// Returns the streams that began at this instance, where, and until when they must be known.
+    pub fn own(&self) -> impl Iterator<Item = (StreamId, &StreamOrigin, Duration)> {
+        let own = self.records.iter().filter(|(_, record)| record.is_own);
+        own.map(|(stream, record)| (*stream, &record.origin, record.until))
     }
 
-    fn insert(&mut self, now: Duration, stream: StreamId, version: SmolStr, is_own: bool) {
+    fn insert(
+        &mut self,
+        now: Duration,
+        stream: StreamId,
+        mut origin: StreamOrigin,
+        mut until: Duration,
+        is_own: bool,
+    ) {
+        if let Some(known) = self.records.remove(&stream) {
+            self.by_end.remove(&(known.until, stream));
+            until = until.max(known.until);
+            origin.service = origin.service.or(known.origin.service);
+        }
         let record = Record {
-            version,
-            at: now,
+            origin,
+            until,
             is_own,
         };
-        self.versions.insert(stream, record);
-        self.recorded.push_back((now, stream));
-        while let Some((at, oldest)) = self.recorded.front().copied() {
-            if now < at + STREAM_RETENTION && self.recorded.len() <= MAX_STREAMS {
+        self.records.insert(stream, record);
+        self.by_end.insert((until, stream));
+        while let Some((end, first)) = self.by_end.first().copied() {
+            if now < end && self.records.len() <= MAX_STREAMS {
                 break;
             }
-            self.recorded.pop_front();
-            // A later record of the same stream stands further back.
-            if self
-                .versions
-                .get(&oldest)
-                .is_some_and(|record| record.at == at)
-            {
-                self.versions.remove(&oldest);
-            }
+            self.by_end.remove(&(end, first));
+            self.records.remove(&first);
         }
     }
 
-    /// Returns the version that began a stream; `None` if it is not known.
-    pub fn version(&self, stream: StreamId) -> Option<&SmolStr> {
-        self.versions.get(&stream).map(|record| &record.version)
+    /// Returns where a stream began, and until when that must be known; `None` if it is not known.
+    pub fn find(&self, stream: StreamId) -> Option<(&StreamOrigin, Duration)> {
+        let record = self.records.get(&stream)?;
+        Some((&record.origin, record.until))
     }
 }
--- a/crates/routing/src/version_notes.rs
+++ b/crates/routing/src/version_notes.rs
@@ -1,22 +1,28 @@
-//! The software versions of engines that the store lists, for instances that start.
+//! What the store lists for instances that start: at which software versions, and under which traffic splits,
+//! streams may have begun that callers still take up.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
 
-/// Versions by service.
-pub type Versions = BTreeMap<SmolStr, BTreeSet<SmolStr>>;
+/// Versions of a service, or splits of the routes, and until when callers may take up streams of each, by the
+/// store's clock in milliseconds. 0 means that no caller waits for longer than
+/// [`MIN_STREAM_RETENTION`](crate::MIN_STREAM_RETENTION).
+pub type Listed = BTreeMap<SmolStr, u64>;
 
-/// The software versions whose engines may have begun streams, as the store lists them.
+/// The list of each service, and that of the routes.
+pub type Versions = BTreeMap<SmolStr, Listed>;
+
+/// The lists of the store, as far as this instance knows them.
 ///
-/// A version is listed before an engine of it gets its first stream, and for a time after its last
-/// engine is gone. An instance that starts therefore knows that a stream may have begun at a version of
+/// A version is listed before an engine of it gets its first stream, and until no caller can take up a stream
+/// that began there. An instance that starts therefore knows that a stream may have begun at a version of
 /// which no engine is left; see `docs/design/stream-versions.md`.
 #[derive(Clone, Debug)]
 pub struct VersionNotes {
-    /// The list as it was last read or written; `None` before.
+    /// The lists as they were last read or written; `None` before.
     stored: Option<Versions>,
-    /// All versions that this instance has seen in the list and that are not forgotten.
+    /// All that this instance has seen in the lists and that is not forgotten, with the latest time.
     seen: Versions,
     /// Whether no instance ran before this one, so that the list has nothing that matters.
     is_first_start: bool,
@@ -43,50 +49,97 @@
         match &self.stored {
             None => self.is_first_start,
             Some(stored) => {
-                let is_listed = |list: &Versions| list.get(service).map(|v| v.contains(version));
+                let is_listed =
+                    |list: &Versions| list.get(service).map(|v| v.contains_key(version));
                 is_listed(stored) != Some(false) || is_listed(&self.seen) == Some(true)
             }
         }
     }
 
-    /// Returns the listed versions of a service.
-    pub fn versions(&self, service: &str) -> impl Iterator<Item = &SmolStr> {
-        self.seen.get(service).into_iter().flatten()
+    /// Returns what is listed for a service, or for the routes.
+    pub fn listed(&self, subject: &str) -> impl Iterator<Item = (&SmolStr, u64)> {
+        let seen = self.seen.get(subject).into_iter().flatten();
+        seen.map(|(name, until_ms)| (name, *until_ms))
+    }
+
+    /// Returns the time until which callers may take up streams of a version, as far as the store lists it.
+    pub fn stored_until(&self, service: &str, version: &str) -> u64 {
+        let list = self.stored.as_ref().and_then(|stored| stored.get(service));
+        list.and_then(|list| list.get(version))
+            .copied()
+            .unwrap_or(0)
     }
 
-    /// Replaces the list by what was read from the store.
+    /// Replaces the lists by what was read from the store.
     pub fn set_stored(&mut self, stored: Versions) {
-        for (service, versions) in &stored {
-            let seen = self.seen.entry(service.clone()).or_default();
-            seen.extend(versions.iter().cloned());
+        for (subject, list) in &stored {
+            merge(self.seen.entry(subject.clone()).or_default(), list);
         }
         self.stored = Some(stored);
     }
 
-    /// Replaces the list of one service by what was written to the store.
-    pub fn set_stored_of(&mut self, service: SmolStr, versions: BTreeSet<SmolStr>) {
-        self.seen.insert(service.clone(), versions.clone());
+    /// Replaces one list by what was written to the store.
+    pub fn set_stored_of(&mut self, subject: SmolStr, list: Listed) {
+        self.seen.insert(subject.clone(), list.clone());
         let stored = self.stored.get_or_insert_default();
-        stored.insert(service, versions);
+        stored.insert(subject, list);
     }
 
-    /// Returns the lists that the store should have and does not, given the versions that are in use
-    /// or were lately. Versions that were seen in the list and are in neither are kept unless
-    /// `may_forget`: an instance that has just started cannot tell.
-    pub fn changes(&self, in_use: &Versions, may_forget: bool) -> Versions {
+    /// Forgets what another instance has taken off the lists, unless callers may still take up streams of it:
+    /// builds up to 57e2313 do not know of that time.
+    pub fn forget_removed(&mut self, store_ms: u64) {
+        let Some(stored) = &self.stored else {
+            return;
+        };
+        for (subject, seen) in &mut self.seen {
+            let listed = stored.get(subject);
+            seen.retain(|name, until_ms| {
+                store_ms < *until_ms || listed.is_some_and(|l| l.contains_key(name))
+            });
+        }
+    }
+
+    /// Returns the lists that the store should have and does not, given what is in use or was lately. What was
+    /// seen in a list and is in neither is kept unless `may_forget`, since an instance that has just started
+    /// cannot tell, and as long as callers may take up streams of it.
+    pub fn changes(&self, in_use: &Versions, may_forget: bool, store_ms: u64) -> Versions {
         let Some(stored) = &self.stored else {
             return Versions::new();
         };
         let mut changes = Versions::new();
-        for (service, versions) in in_use {
-            let mut wanted = versions.clone();
-            if !may_forget {
-                wanted.extend(self.versions(service).cloned());
+        for (subject, list) in in_use {
+            let mut wanted = list.clone();
+            for (name, until_ms) in self.listed(subject) {
+                let is_awaited = store_ms < until_ms;
+                if !may_forget || is_awaited {
+                    wanted.entry(name.clone()).or_default();
+                }
+                if let Some(wanted) = wanted.get_mut(name).filter(|_| is_awaited) {
+                    *wanted = until_ms.max(*wanted);
+                }
             }
-            if stored.get(service) != Some(&wanted) {
-                changes.insert(service.clone(), wanted);
+            if !covers(stored.get(subject), &wanted) {
+                changes.insert(subject.clone(), wanted);
             }
         }
         changes
     }
 }
+
+/// Adds a list to another one; the later time stands.
+fn merge(list: &mut Listed, other: &Listed) {
+    for (name, until_ms) in other {
+        let known = list.entry(name.clone()).or_default();
+        *known = (*known).max(*until_ms);
+    }
+}
+
+/// Whether a stored list has the wanted names and no others, and for none of them an earlier time.
+fn covers(stored: Option<&Listed>, wanted: &Listed) -> bool {
+    let is_later = |(name, until_ms): (&SmolStr, &u64)| {
+        stored
+            .and_then(|list| list.get(name))
+            .is_some_and(|stored| stored >= until_ms)
+    };
+    wanted.iter().all(is_later) && stored.map_or(0, BTreeMap::len) == wanted.len()
+}
--- a/crates/routing/tests/stream_versions.rs
+++ b/crates/routing/tests/stream_versions.rs
@@ -7,7 +7,8 @@
 
 use common::{entry, pick};
 use jacinthlever_routing::{
-    EngineRole, KEEPERS, Member, Membership, PickParams, ServerPool, StreamId, StreamOrigins,
+    EngineRole, KEEPERS, Member, Membership, PickParams, ServerPool, StreamId, StreamOrigin,
+    StreamOrigins, retention_end,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -65,18 +66,43 @@
     assert_eq!(pool.versions(&service).len(), 1);
 }
 
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: Some("service".into()),
+        version: version.into(),
+    }
+}
+
 #[test]
 fn streams_are_forgotten_after_a_time_and_when_there_are_too_many() {
     let mut origins = StreamOrigins::default();
-    origins.record(secs(1), StreamId(1), "v1".into());
-    origins.record(secs(50), StreamId(1), "v1".into());
-    origins.record(secs(90), StreamId(2), "v2".into());
-    assert_eq!(origins.version(StreamId(1)).map(|v| v.as_str()), Some("v1"));
+    let mut record = |at: Duration, stream: u64, version: &str| {
+        let until = retention_end(at, at);
+        origins.record(at, StreamId(stream), origin(version), until);
+    };
+    record(secs(1), 1, "v1");
+    record(secs(50), 1, "v1");
+    record(secs(90), 2, "v2");
     for n in 0..100_000 {
-        origins.record(secs(91), StreamId(n + 10), "v2".into());
+        record(secs(91), n + 10, "v2");
+    }
+    assert_eq!(origins.find(StreamId(1)), None);
+    assert!(origins.find(StreamId(100_009)).is_some());
+}
+
+#[test]
+fn a_stream_is_known_for_a_minute_after_it_went_on() {
+    let mut origins = StreamOrigins::default();
+    for (at, stream) in [(secs(1), 1), (secs(50), 1), (secs(90), 2)] {
+        let until = retention_end(at, at);
+        origins.record(at, StreamId(stream), origin("v1"), until);
     }
-    assert_eq!(origins.version(StreamId(1)), None);
-    assert!(origins.version(StreamId(100_009)).is_some());
+    let version = |stream| {
+        origins
+            .find(StreamId(stream))
+            .map(|(o, _)| o.version.as_str())
+    };
+    assert_eq!(version(1), Some("v1"));
 }
 
 /// The members of a fleet, by name, in several zones.
--- a/crates/routing/tests/versions_after_restart.rs
+++ b/crates/routing/tests/versions_after_restart.rs
@@ -8,7 +8,8 @@
 
 use common::{entry, pick};
 use jacinthlever_routing::{
-    EngineRole, JournalRow, ServerPool, StreamId, StreamJournal, VersionNotes, Versions,
+    EngineRole, JournalRow, MIN_STREAM_RETENTION, ServerPool, StreamId, StreamJournal,
+    StreamOrigin, VersionNotes, Versions,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,7 +28,22 @@
 }
 
 fn list(names: &[&str]) -> Versions {
-    Versions::from([("service".into(), versions(names))])
+    let listed = names.iter().map(|name| (SmolStr::new(name), 0));
+    Versions::from([("service".into(), listed.collect())])
+}
+
+/// Returns what the store lacks at a time of the instance; its clock shows the same time.
+fn changes(pool: &ServerPool, now: Duration) -> Versions {
+    pool.note_changes(now, now.as_millis() as u64)
+}
+
+/// Adds the record of a stream whose caller does not wait for long.
+fn push(journal: &mut StreamJournal, now: Duration, stream: u64, version: &str) {
+    let origin = StreamOrigin {
+        service: Some("service".into()),
+        version: version.into(),
+    };
+    journal.push(now, StreamId(stream), origin, now + MIN_STREAM_RETENTION);
 }
 
 /// Returns a pool with an engine of each version, whose notes were not read yet.
@@ -63,11 +79,11 @@
     set_stored(&mut pool, list(&["v1"]));
     assert!(pool.knows_versions());
     assert_eq!(usable(&pool, secs(1)), versions(&["v1"]));
-    assert_eq!(pool.note_changes(secs(1)), list(&["v1", "v2"]));
+    assert_eq!(changes(&pool, secs(1)), list(&["v1", "v2"]));
     let notes = pool.notes_mut().expect("no notes");
-    notes.set_stored_of("service".into(), versions(&["v1", "v2"]));
+    notes.set_stored_of("service".into(), list(&["v1", "v2"])["service"].clone());
     assert_eq!(usable(&pool, secs(1)), versions(&["v1", "v2"]));
-    assert_eq!(pool.note_changes(secs(1)), Versions::new());
+    assert_eq!(changes(&pool, secs(1)), Versions::new());
 }
 
 // Nothing can have begun before the first start, and without a list nothing is inferred from it.
@@ -80,7 +96,7 @@
     set_stored(&mut pool_without_list, Versions::new());
     assert_eq!(usable(&pool_without_list, secs(1)), versions(&["v1"]));
     set_stored(&mut pool, Versions::new());
-    assert_eq!(pool.note_changes(secs(1)), list(&["v1"]));
+    assert_eq!(changes(&pool, secs(1)), list(&["v1"]));
 }
 
 // Guards against a list that is cut to what an instance sees that has just started: a version may have
@@ -91,8 +107,8 @@
     set_stored(&mut pool, list(&["v1", "v2"]));
     assert_eq!(pool.versions("service").len(), 2);
     assert!(pool.is_mixed("service") && pool.is_any_mixed());
-    assert_eq!(pool.note_changes(secs(30)), Versions::new());
-    assert_eq!(pool.note_changes(secs(61)), list(&["v2"]));
+    assert_eq!(changes(&pool, secs(30)), Versions::new());
+    assert_eq!(changes(&pool, secs(61)), list(&["v2"]));
 }
 
 // Guards against engines that are not used since the store came back from a copy without its list.
@@ -102,19 +118,19 @@
     set_stored(&mut pool, list(&["v1", "v2"]));
     set_stored(&mut pool, list(&["v1"]));
     assert_eq!(usable(&pool, secs(1)), versions(&["v1", "v2"]));
-    assert_eq!(pool.note_changes(secs(1)), list(&["v1", "v2"]));
+    assert_eq!(changes(&pool, secs(1)), list(&["v1", "v2"]));
 }
 
 #[test]
 fn a_row_that_was_not_written_is_written_later() {
     let mut journal = StreamJournal::default();
-    journal.push(secs(1), StreamId(1), "v1".into());
+    push(&mut journal, secs(1), 1, "v1");
     let row = journal.next_row().expect("no row");
     assert_eq!(journal.next_row(), None);
     journal.put_back(row.clone());
-    journal.push(secs(2), StreamId(2), "v2".into());
+    push(&mut journal, secs(2), 2, "v2");
     assert_eq!(journal.next_row().expect("no row").len(), 2);
-    journal.push(secs(7), StreamId(3), "v2".into());
+    push(&mut journal, secs(7), 3, "v2");
     journal.put_back(row);
     let rows = [journal.next_row(), journal.next_row(), journal.next_row()];
     let indices = rows.map(|row| row.map(|r| r.index));
@@ -125,13 +141,13 @@
 #[test]
 fn records_go_into_the_next_row_if_another_write_has_taken_their_place() {
     let mut journal = StreamJournal::default();
-    journal.push(secs(1), StreamId(1), "v1".into());
+    push(&mut journal, secs(1), 1, "v1");
     let row = journal.next_row().expect("no row");
-    journal.push(secs(2), StreamId(2), "v1".into());
+    push(&mut journal, secs(2), 2, "v1");
     journal.move_on(row);
     let moved = journal.next_row().expect("no row");
     assert_eq!((moved.index, moved.len(), moved.since), (1, 2, secs(1)));
-    journal.push(secs(8), StreamId(3), "v2".into());
+    push(&mut journal, secs(8), 3, "v2");
     journal.move_on(moved);
     let moved = journal.next_row().expect("no row");
     assert_eq!((moved.index, moved.len(), moved.since), (3, 3, secs(1)));
@@ -239,9 +255,7 @@
                 let stream = began.len() as u64;
                 let version = if rng.random() { "v1" } else { "v2" };
                 let zone = rng.random_range(0..load.zones) as usize;
-                writers[zone]
-                    .journal
-                    .push(now, StreamId(stream), version.into());
+                push(&mut writers[zone].journal, now, stream, version);
                 began.push(now);
             }
             writers.iter_mut().for_each(|writer| writer.step(now));
