A row version that has gone stale is read again in one place

Cause: a task that writes a row again and again remembers the version that its last write gave the row. It goes stale when the store comes back from a copy and when a write is carried out whose answer is lost. The writer of stream records then moved on to the next of its 14 rows, and when all were stale it went round for ever; the records piled up without a bound. Nothing told "my version is stale" from "somebody else has written the row".

Change: StoreClient::write_own is the place that tells them apart. On a conflict it reads the row, and writes again if the row is still the task's own; at most three times, then the task waits as after any failed call. Both writers that remember a version use it: the records of streams, and the duty to plan roles, which waited two takeover times (8 s) after a lost answer. The writers that read a row just before (lists of versions, removal of rows) are as they were. JL1105 says that a version was stale.

Cost: no call more in calm; one read for each stale version.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -72,6 +72,8 @@
 pub struct StoreDialect {
     /// Encodes a read of the rows of a table, starting at a key.
     pub read: fn(Table, &str) -> StoreRequest,
+    /// Encodes a read of the row of a table with a key.
+    pub read_row: fn(Table, &str) -> StoreRequest,
     /// Encodes a call that waits up to a duration for changes of a table after a version.
     pub watch: fn(Table, u64, Duration) -> StoreRequest,
     /// Decodes the era of the store from the headers of an answer; `None` if they do not name it.
--- a/crates/gateway/src/event_code.rs
+++ b/crates/gateway/src/event_code.rs
@@ -24,6 +24,8 @@
     RowUnreadable = 1103,
     /// The store has come back from a copy, and may have lost what was written since.
     StoreRestored = 1104,
+    /// A row that this instance writes has another version than its last write gave it; it is read again.
+    VersionStale = 1105,
     /// A new configuration has come into force.
     ConfigApplied = 1201,
     /// A restored store has an older configuration than the one in force, which stays in force.
@@ -134,7 +136,7 @@
 
 impl EventCode {
     /// All kinds of events, in the order of their numbers.
-    pub const ALL: [Self; 63] = [
+    pub const ALL: [Self; 64] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -145,6 +147,7 @@
         Self::StoreLost,
         Self::RowUnreadable,
         Self::StoreRestored,
+        Self::VersionStale,
         Self::ConfigApplied,
         Self::ConfigOlder,
         Self::ZoneEvacuated,
--- a/crates/gateway/src/role_coordinator.rs
+++ b/crates/gateway/src/role_coordinator.rs
@@ -15,8 +15,8 @@
 
 use crate::context::Context;
 use crate::exchange::Exchange;
-use crate::store::{StoreClient, StoreError, WriteResult};
-use crate::{EventCode, RowWrite, Table};
+use crate::store::{OwnVersion, OwnWriteResult, StoreClient, StoreError};
+use crate::{EventCode, Row, RowWrite, Table};
 
 /// Interval at which the mix of roles is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -69,7 +69,7 @@
     cx: Rc<Context>,
     client: StoreClient,
     /// Version of the row that this instance wrote last; `None` if it does not own the row.
-    owned_version: Option<u64>,
+    owned_version: Option<OwnVersion>,
     imbalanced_since: Option<Duration>,
     /// Time before which no role is changed.
     not_before: Duration,
@@ -148,34 +148,42 @@
                 None => return Ok(None),
             },
         };
+        let instance = self.cx.settings().instance.clone();
         let write = RowWrite {
             table: Table::Duties,
             key: ROW_KEY.into(),
-            value: Some(self.cx.settings().instance.as_bytes().to_vec()),
-            expected: Some(expected),
+            value: Some(instance.as_bytes().to_vec()),
+            expected: None,
         };
         let written_at = self.cx.now();
-        self.owned_version = match self.client.write(&write).await? {
-            WriteResult::Done(version) => Some(version),
-            WriteResult::Conflict => None,
-        };
-        let fence = |token| Fence { token, written_at };
-        Ok(self.owned_version.map(fence))
+        let is_own = |row: &Row| row.value.as_deref() == Some(instance.as_bytes());
+        let mut known = expected;
+        let written = self.client.write_own(write, &mut known, is_own).await;
+        // Without an answer the row may be this instance's from now on.
+        self.owned_version = Some(known);
+        match written? {
+            OwnWriteResult::Done(token) => Ok(Some(Fence { token, written_at })),
+            OwnWriteResult::Held(_) => {
+                self.owned_version = None;
+                Ok(None)
+            }
+        }
     }
 
     /// Returns the version of the row once no other instance can be using it; `None` if it changed
     /// while this instance waited.
-    async fn free_row(&mut self) -> Result<Option<u64>, StoreError> {
+    async fn free_row(&mut self) -> Result<Option<OwnVersion>, StoreError> {
         let before = self.row().await?;
         let Some((version, owner)) = before else {
-            return Ok(Some(0));
+            return Ok(Some(OwnVersion::Absent));
         };
         let is_own = owner == self.cx.settings().instance;
         if !is_own {
             sleep(self.takeover_after()).await;
         }
         let after = self.row().await?;
-        Ok(after.filter(|(v, _)| *v == version).map(|(v, _)| v))
+        let unchanged = after.filter(|(v, _)| *v == version);
+        Ok(unchanged.map(|(v, _)| OwnVersion::At(v)))
     }
 
     async fn row(&mut self) -> Result<Option<(u64, SmolStr)>, StoreError> {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -16,7 +16,7 @@
 use crate::context::Context;
 use crate::server_stream::HeadProgress;
 use crate::store_version;
-use crate::{EventCode, RowWrite, Rows, StoreRequest, Table, WatchResult};
+use crate::{EventCode, Row, RowWrite, Rows, StoreRequest, Table, WatchResult};
 
 /// Maximum size of an answer of the store, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -35,9 +35,14 @@
 /// a client for as long as it likes.
 const MIN_PROGRESS_BYTES: usize = 256;
 
+/// Maximum number of writes in one [`StoreClient::write_own`].
+const MAX_OWN_WRITES: u32 = 3;
+
 /// Error of a call to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreError {
+    /// The row changed each time after it was read, as writes were carried out whose answers were lost.
+    Contended,
     /// No connection could be used; the call was not carried out.
     Unreachable,
     /// There was no answer; a write may have been carried out, or may be later.
@@ -59,6 +64,7 @@
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Contended => write!(f, "the row changed after each read"),
             Self::Unreachable => write!(f, "no connection to the store"),
             Self::Unanswered => write!(f, "no answer from the store"),
             Self::Incomplete(bytes) => {
@@ -82,10 +88,40 @@
 pub enum WriteResult {
     /// The row was written and has this version.
     Done(u64),
-    /// The row has a version other than the expected one and was not written.
+    /// The row has a version other than the expected one and was not written. The expected one may be stale, or
+    /// somebody else has written the row; see [`StoreClient::write_own`].
     Conflict,
 }
 
+/// Version of a row that one task writes again and again, as far as the task knows it.
+///
+/// It goes stale when the store comes back from a copy, and when the store carries out a write whose answer is
+/// lost; [`StoreClient::write_own`] notices both.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnVersion {
+    /// It is not known whether the store has the row.
+    Unknown,
+    /// The store has no such row.
+    Absent,
+    /// The row has this version.
+    At(u64),
+}
+
+impl OwnVersion {
+    fn of(row: Option<&Row>) -> Self {
+        row.map_or(Self::Absent, |row| Self::At(row.version))
+    }
+}
+
+/// Result of a write of a row that one task writes again and again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnWriteResult {
+    /// The row was written and has this version.
+    Done(u64),
+    /// Somebody else has written the row, which has this version; it was left as it is.
+    Held(u64),
+}
+
 type StoreConnection = (SendRequest<RequestBody>, Rc<HeadProgress>);
 
 /// Store client of one purpose, such as the renewal of the registration.
@@ -180,6 +216,67 @@
         }
     }
 
+    /// Reads one row; `None` if the store does not have it.
+    ///
+    /// # Errors
+    /// Fails if the store does not answer, refuses the call, or its answer cannot be decoded.
+    pub async fn read_row(&mut self, table: Table, key: &str) -> Result<Option<Row>, StoreError> {
+        let call = (self.cx.adapter.store.read_row)(table, key);
+        let bytes = self.call_ok(call, Duration::ZERO).await?;
+        let rows = self.decode_rows(&bytes)?.rows;
+        Ok(rows.into_iter().find(|row| row.key == key))
+    }
+
+    /// Writes a row that this task writes again and again, on the condition that nobody else has written it;
+    /// `is_own` tells that from the row. `write.expected` is not used: the version that the row must have is
+    /// `known`, and is updated.
+    ///
+    /// This is the place where a version that has gone stale is told from a row that somebody else holds: the row is
+    /// read, and if it is still this task's own, the write is repeated.
+    ///
+    /// # Errors
+    /// Fails as [`StoreClient::write`], or if the row changed after each read.
+    pub async fn write_own(
+        &mut self,
+        write: RowWrite,
+        known: &mut OwnVersion,
+        is_own: impl Fn(&Row) -> bool,
+    ) -> Result<OwnWriteResult, StoreError> {
+        for _ in 0..MAX_OWN_WRITES {
+            if *known == OwnVersion::Unknown {
+                let row = self.read_row(write.table, &write.key).await?;
+                if let Some(row) = row.as_ref().filter(|row| !is_own(row)) {
+                    return Ok(OwnWriteResult::Held(row.version));
+                }
+                *known = OwnVersion::of(row.as_ref());
+            }
+            let expected = match *known {
+                OwnVersion::At(version) => version,
+                OwnVersion::Absent | OwnVersion::Unknown => 0,
+            };
+            let write = RowWrite {
+                expected: Some(expected),
+                ..write.clone()
+            };
+            match self.write(&write).await? {
+                WriteResult::Done(version) => {
+                    *known = OwnVersion::At(version);
+                    return Ok(OwnWriteResult::Done(version));
+                }
+                WriteResult::Conflict => {
+                    let fields = [
+                        ("duty", self.duty.into()),
+                        ("row", write.key.as_str().into()),
+                        ("expected", expected.into()),
+                    ];
+                    self.cx.log(EventCode::VersionStale, fields);
+                    *known = OwnVersion::Unknown;
+                }
+            }
+        }
+        Err(StoreError::Contended)
+    }
+
     /// Waits up to `wait` for changes of a table after version `after`.
     ///
     /// # Errors
--- a/crates/gateway/src/stream_records.rs
+++ b/crates/gateway/src/stream_records.rs
@@ -19,7 +19,7 @@
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::peers::Message;
-use crate::store::{StoreClient, StoreError, WriteResult};
+use crate::store::{OwnVersion, OwnWriteResult, StoreClient, StoreError};
 use crate::stream_origins::StreamBegan;
 use crate::table_updates::log_unreadable_row;
 use crate::{EventCode, Row, RowWrite, Table};
@@ -131,7 +131,7 @@
     let mut client = StoreClient::new(cx.clone(), "streams");
     let mut restored = cx.store_restored.subscribe();
     let mut backoff = Backoff::default();
-    let mut versions = BTreeMap::new();
+    let mut versions: BTreeMap<u32, OwnVersion> = BTreeMap::new();
     loop {
         tokio::select! {
             () = cx.streams_recorded.notified() => {}
@@ -142,17 +142,12 @@
             let Some(row) = row else {
                 break;
             };
-            let expected = versions.get(&row.index).copied().unwrap_or(0);
-            match write(&cx, &mut client, &row, expected).await {
-                Ok(WriteResult::Done(version)) => {
-                    versions.insert(row.index, version);
+            let known = versions.entry(row.index).or_insert(OwnVersion::Absent);
+            match write(&cx, &mut client, &row, known).await {
+                Ok(_) => {
                     backoff = Backoff::default();
                     sleep(WRITE_INTERVAL).await;
                 }
-                Ok(WriteResult::Conflict) => {
-                    cx.state.borrow_mut().stream_journal.move_on(row);
-                    sleep(backoff.next_delay(cx.random())).await;
-                }
                 Err(error) => {
                     log::debug!("streams not recorded, next try in a moment: {error}");
                     cx.state.borrow_mut().stream_journal.put_back(row);
@@ -167,8 +162,8 @@
     cx: &Context,
     client: &mut StoreClient,
     row: &JournalRow,
-    expected: u64,
-) -> Result<WriteResult, StoreError> {
+    known: &mut OwnVersion,
+) -> Result<OwnWriteResult, StoreError> {
     // The clock is known, since the servers were read before a stream could begin.
     let until_ms = cx.state.borrow().store_clock.to_store(row.until);
     let mut streams: BTreeMap<SmolStr, Vec<u64>> = BTreeMap::new();
@@ -189,10 +184,11 @@
         table: Table::Streams,
         key: format_smolstr!("{instance}/{process}/{}", row.index),
         value: Some(value),
-        // A write that got no answer may be carried out later, and must not replace a newer row.
-        expected: Some(expected),
+        expected: None,
     };
-    client.write(&write).await
+    // Only this process writes the row. The condition is for writes that got no answer: one may be carried out
+    // later, and must not replace a newer row.
+    client.write_own(write, known, |_| true).await
 }
 
 /// Reads the records of all instances, unless that was done just before.
--- a/crates/routing/src/stream_journal.rs
+++ b/crates/routing/src/stream_journal.rs
@@ -108,18 +108,14 @@
                 self.complete.remove(&first);
             }
         }
+        let free = (0..).find(|index| !self.complete.contains_key(index));
         self.row = JournalRow {
-            index: self.free_index(),
+            index: free.unwrap_or_default(),
             since: now,
             ..JournalRow::default()
         };
     }
 
-    fn free_index(&self) -> u32 {
-        let free = (0..).find(|index| !self.complete.contains_key(index));
-        free.unwrap_or_default()
-    }
-
     /// Drops waiting rows that nobody needs any longer and, if there are still too many, those whose callers
     /// give up first.
     fn limit_waiting(&mut self, now: Duration) {
@@ -156,26 +152,6 @@
         }
     }
 
-    /// Puts the records of a row into another one, since the store has something else in its place than
-    /// was last written: a write that got no answer may be carried out after a later one.
-    pub fn move_on(&mut self, row: JournalRow) {
-        let taken = CompleteRow {
-            until: row.until,
-            content: None,
-        };
-        self.complete.insert(row.index, taken);
-        self.row.since = self.row.since.min(row.since);
-        self.row.until = self.row.until.max(row.until);
-        if row.index != self.row.index {
-            for (origin, streams) in row.streams {
-                self.row.streams.entry(origin).or_default().extend(streams);
-            }
-        }
-        let is_free = |index: &u32| *index != self.row.index && !self.complete.contains_key(index);
-        self.row.index = (0..).find(is_free).unwrap_or_default();
-        self.has_news = true;
-    }
-
     /// Has the rows of the last [`REWRITE_PERIOD`] written again, since the store may have lost them.
     pub fn write_again(&mut self, now: Duration) {
         self.has_news = !self.row.is_empty();
