A stream that is taken up goes to the service that began it

What callers saw: the weights of a route change that is split over two services of engines, and one instance loses power.

Cause: the service of a take-up was drawn by the hash of the first attempt and the weights in force now. Nothing that is known of a stream named its service.

Change: what is remembered of a stream is its service and version, in memory, at the keepers and in the store. stream_origins::find is the one place that says where a stream began; admission asks it for routes that lead, or led lately, to several services. A weight of zero keeps a stream where it began; a route that no longer names the service refuses it at once. Of a stream that nobody knows, the service is inferred only if all splits under which it may have begun agree; replaced splits are listed in the store beside the versions. Streams of split routes are recorded in the store at all times, so that they outlive all instances that knew them.

Cost: none for routes with one service.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -140,6 +140,11 @@
 }
 
 impl CallerHeaders {
+    /// Whether the caller takes up a stream that an earlier attempt began.
+    pub fn take_up_stream(&self) -> bool {
+        self.resumes.is_some() || self.last_event.is_some()
+    }
+
     /// Returns the attempt that brings, or brought, the first event of the stream.
     pub fn first_attempt(&self) -> &SmolStr {
         self.resumes.as_ref().unwrap_or(&self.request_id)
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -23,8 +23,9 @@
 use crate::held_body::{HeldBody, ReadError};
 use crate::quarantine;
 use crate::relay::{ATTEMPTS_HEADER, CALLER_WAIT_HEADER, CONFIG_HEADER, RelayTerms};
+use crate::route_splits::{self, KnownSplits};
 use crate::sends::Sends;
-use crate::stream_origins;
+use crate::stream_origins::{self, FoundOrigin};
 
 /// `Retry-After` of refusals that are due to a configuration that may be outdated, to a route
 /// without a service, or to a server that did not have capacity in time.
@@ -115,6 +116,7 @@
     if let Some(relayed) = relayed {
         admission.route.max_attempts = admission.route.max_attempts.min(relayed.attempts);
     }
+    let origin = find_origin(cx, &mut admission, &headers).await?;
     summary.tokens = admission.tokens(&headers);
     let timeout = headers.timeout.unwrap_or(admission.route.timeout);
     let deadline = arrived + timeout.min(admission.route.timeout);
@@ -170,6 +172,7 @@
         arrived,
         deadline,
         caller_waits_until: arrived + caller_wait,
+        origin,
         fingerprint,
         possible_runs: Cell::new(0),
         sends,
@@ -179,6 +182,41 @@
     })
 }
 
+/// Selects the service of a stream that a caller takes up: the one at which it began, whatever split of the route is
+/// in force now. Returns where it began, unless there is only one service at which it can have begun.
+///
+/// # Errors
+/// Returns a refusal if the service is not known, or if the route no longer leads there.
+async fn find_origin(
+    cx: &Rc<Context>,
+    admission: &mut Admission,
+    headers: &CallerHeaders,
+) -> Result<Option<FoundOrigin>, Verdict> {
+    let route = &admission.route;
+    if !headers.take_up_stream() || !route_splits::has_resumable_streams(route) {
+        return Ok(None);
+    }
+    let is_only_service = {
+        let state = cx.state.borrow();
+        let splits = KnownSplits::of(&state.pool, route);
+        splits.is_some_and(|splits| splits.services(route, None).len() <= 1)
+    };
+    if is_only_service || !admission.waits_for_capacity() {
+        return Ok(None);
+    }
+    let refusal = |reason| Verdict::unavailable(reason, RETRY_AFTER_UNVERIFIED);
+    let found = stream_origins::find(cx, route, headers.resumes.as_ref()).await;
+    let found = found.ok_or_else(|| refusal("service that began the stream is not known"))?;
+    let mut destinations = route.destinations.iter();
+    if !destinations.any(|destination| destination.service == found.service) {
+        return Err(refusal(
+            "route no longer leads to the service that began the stream",
+        ));
+    }
+    admission.service = found.service.clone();
+    Ok(Some(found))
+}
+
 fn headers_to_forward(mut headers: HeaderMap) -> HeaderMap {
     remove_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -233,7 +271,7 @@
         }
         Some(customer)
     };
-    // All attempts at a stream draw the same number, so it goes on at the service that began it.
+    // All attempts at a stream draw the same number, so that it stays at one service while the split does.
     let attempt = headers.first_attempt();
     let draw = match attempt.is_empty() {
         true => cx.random(),
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -16,6 +16,7 @@
 use crate::context::Context;
 use crate::held_body::HeldBody;
 use crate::sends::Sends;
+use crate::stream_origins::FoundOrigin;
 
 /// Hop-by-hop headers, which apply to one connection only; see RFC 9110, section 7.6.1.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
@@ -58,6 +59,8 @@
     /// Time until which the caller waits, over all its attempts, on the clock of the instance. It may be later than
     /// the deadline, which is also that of the route.
     pub caller_waits_until: Duration,
+    /// Where the stream began that the caller takes up, if that was needed to select the service.
+    pub origin: Option<FoundOrigin>,
     /// Hash of key, method, path and body, which identifies equal requests.
     pub fingerprint: Fingerprint,
     /// Number of sends that a backend server may have run: those under way, and those that ended without
@@ -130,7 +133,7 @@
     /// Records how long the request has run, now that its answer is whole. A stream that the caller took
     /// up does not count.
     pub fn record_run_time(&self, cx: &Context) {
-        let is_taken_up = self.headers.resumes.is_some() || self.headers.last_event.is_some();
+        let is_taken_up = self.headers.take_up_stream();
         if let Some(sent_at) = self.sends.first_sent_at().filter(|_| !is_taken_up) {
             let took = cx.now().saturating_sub(sent_at);
             let mut state = cx.state.borrow_mut();
--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -187,7 +187,9 @@
         return generation.pass_on().await;
     }
     if generation.is_taken_up() {
-        generation.version = Some(generation.find_version().await?);
+        let attempt = generation.req.headers.resumes.as_ref();
+        let version = generation.find_version(attempt).await?;
+        generation.version = Some(version);
     }
     let decode = match generation.start_decode(None).await {
         Ok(decode) => decode,
@@ -281,9 +283,8 @@
         }
         let has_begun = last_event.is_some() || self.is_taken_up();
         if has_begun && self.version.is_none() {
-            let attempt = self.req.headers.first_attempt();
-            let version = stream_origins::find(&self.cx, &self.req.service, Some(attempt));
-            let version = version.await.ok_or_else(|| self.unknown_version())?;
+            let attempt = Some(self.req.headers.first_attempt());
+            let version = self.find_version(attempt).await?;
             self.version = Some(version);
         }
         let decode = self.start_decode(last_event).await?;
@@ -333,23 +334,23 @@
 
     /// Whether the caller takes up a stream that an earlier attempt began.
     fn is_taken_up(&self) -> bool {
-        let headers = &self.req.headers;
-        headers.resumes.is_some() || headers.last_event.is_some()
+        self.req.headers.take_up_stream()
     }
 
-    /// Returns the version that began a stream which the caller takes up.
+    /// Returns the version that began a stream which goes on, given the attempt that brought its first event.
     ///
     /// # Errors
-    /// Returns a refusal if it is not known.
-    async fn find_version(&self) -> Result<SmolStr, Verdict> {
-        let attempt = self.req.headers.resumes.as_ref();
-        stream_origins::find(&self.cx, &self.req.service, attempt)
-            .await
-            .ok_or_else(|| self.unknown_version())
-    }
-
-    fn unknown_version(&self) -> Verdict {
-        self.refusal("version that began the stream is not known")
+    /// Returns a refusal if it is not known, or if the stream began at another service.
+    async fn find_version(&self, attempt: Option<&SmolStr>) -> Result<SmolStr, Verdict> {
+        let found = match &self.req.origin {
+            Some(origin) => Some(origin.clone()),
+            None => stream_origins::find(&self.cx, &self.req.route, attempt).await,
+        };
+        match found {
+            Some(origin) if origin.service == self.req.service => Ok(origin.version),
+            Some(_) => Err(self.refusal("stream began at another service")),
+            None => Err(self.refusal("version that began the stream is not known")),
+        }
     }
 
     /// Records that the first event of the stream came from an engine of a version.
@@ -641,7 +642,7 @@
     fn can_be_taken_up(&self) -> bool {
         let (cx, req) = (&self.cx, &self.req);
         let is_listed = !req.route.is_resumable
-            || version_notes::await_callers(cx, &req.service, req.caller_waits_until);
+            || version_notes::await_callers(cx, &req.route, &req.service, req.caller_waits_until);
         if !is_listed {
             cx.engine_versions_changed.notify_one();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod replacement;
 mod reservation;
 mod role_coordinator;
+mod route_splits;
 mod scheduling;
 mod sends;
 mod server_limits;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 
 use crate::Settings;
 use crate::freshness::{Freshness, RecentChanges, StoreClock};
+use crate::route_splits;
 
 /// Margin before the deadline of a key's revocation, for the transit to a backend server.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(700);
@@ -120,6 +121,7 @@
         let routes = &config.routes;
         let is_kept = |name: &SmolStr| routes.iter().any(|route| route.name == *name);
         self.run_times.retain(is_kept);
+        route_splits::record(&mut self.pool, now, self.config.as_deref(), &config);
         self.config_freshness.row = row;
         self.config = Some(Rc::new(config));
         true
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -1,5 +1,5 @@
-//! The software versions that began streams, so that a stream which a caller takes up at any instance
-//! goes on at the same version; see `docs/design/stream-versions.md`.
+//! The services and software versions that began streams, so that a stream which a caller takes up at any
+//! instance goes on at the same ones; see `docs/design/stream-versions.md`.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use jacinthlever_routing::{
-    KEEPERS, MAX_CALLER_WAIT, MIN_STREAM_RETENTION, StreamId, StreamOrigin, retention_end,
+    KEEPERS, MAX_CALLER_WAIT, MIN_STREAM_RETENTION, Route, StreamId, StreamOrigin, retention_end,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -19,6 +19,7 @@
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::peers::Message;
+use crate::route_splits::KnownSplits;
 use crate::stream_records;
 use crate::version_notes;
 
@@ -43,6 +44,9 @@
     /// Time for which the stream must be known, in milliseconds; builds up to 57e2313 do not state it.
     #[serde(default)]
     left_ms: Option<u64>,
+    /// Service of the engine; builds up to 57e2313 do not state it.
+    #[serde(default)]
+    service: Option<SmolStr>,
 }
 
 impl StreamBegan {
@@ -61,6 +65,7 @@
             version: origin.version.clone(),
             for_store: false,
             left_ms: Some(left.as_millis() as u64),
+            service: origin.service.clone(),
         }
     }
 }
@@ -82,6 +87,9 @@
     /// Time for which the stream must be known, in milliseconds; builds up to 57e2313 do not state it.
     #[serde(default)]
     left_ms: Option<u64>,
+    /// Service of the engine; builds up to 57e2313 do not state it.
+    #[serde(default)]
+    service: Option<SmolStr>,
 }
 
 /// Where a stream began, and until when that must be known.
@@ -146,7 +154,7 @@
     let stream = StreamId(began.stream);
     let until = known_until(now, began.left_ms);
     let origin = StreamOrigin {
-        service: None,
+        service: began.service,
         version: began.version,
     };
     let mut state = cx.state.borrow_mut();
@@ -159,70 +167,133 @@
     }
 }
 
-/// Returns the version that began a stream of a service that a caller takes up, given the attempt that
-/// brought its first event if the caller names it: as this instance or the first of the keepers that
-/// answers knows it, or else the store. A stream of which nobody knows began at the version of all
-/// engines, if there is only one. `None` if that cannot be said.
-pub async fn find(cx: &Rc<Context>, service: &str, attempt: Option<&SmolStr>) -> Option<SmolStr> {
+/// Service and software version of the engine that began a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FoundOrigin {
+    /// Service.
+    pub service: SmolStr,
+    /// Software version.
+    pub version: SmolStr,
+}
+
+/// Returns where a stream of a route began that a caller takes up, given the attempt that brought its first event if
+/// the caller names it: as this instance or the first of the keepers that answers knows it, or else the store.
+/// A stream of which nobody knows began at the service that all splits of the route give for it, and at the
+/// version of all its engines, if there is only one. `None` if that cannot be said.
+pub async fn find(
+    cx: &Rc<Context>,
+    route: &Route,
+    attempt: Option<&SmolStr>,
+) -> Option<FoundOrigin> {
     let Some(attempt) = attempt else {
-        return only_version(cx, service).await;
+        return infer(cx, route, None).await;
     };
     let stream = stream_id(attempt);
-    let (known, keepers) = {
+    let (mut known, keepers) = {
         let state = cx.state.borrow();
         let known = state.stream_origins.find(stream);
-        let version = known.map(|(origin, _)| origin.version.clone());
-        (version, state.members.keepers(stream.0, MAX_ASKED))
+        let known = known.map(|(origin, until)| (origin.clone(), until));
+        (known, state.members.keepers(stream.0, MAX_ASKED))
     };
-    if known.is_some() {
-        return known;
+    if let Some((origin, _)) = &known {
+        return with_service(cx, route, stream, origin.clone());
     }
-    let mut found = ask(cx, stream, &keepers).await;
-    if found.is_none()
-        && let Some(version) = only_version(cx, service).await
+    known = ask(cx, stream, &keepers).await;
+    if known.is_none()
+        && let Some(found) = infer(cx, route, Some(stream)).await
     {
         let origin = StreamOrigin {
-            service: Some(service.into()),
-            version,
+            service: Some(found.service),
+            version: found.version,
         };
-        found = Some((origin, retention_end(cx.now(), Duration::ZERO)));
+        known = Some((origin, retention_end(cx.now(), Duration::ZERO)));
     }
-    if found.is_none() && cx.state.borrow().pool.is_mixed(service) {
-        found = find_in_store(cx, stream).await;
+    if known.is_none() && is_recorded(cx, route) {
+        known = find_in_store(cx, stream).await;
     }
-    let version = found.as_ref().map(|(origin, _)| origin.version.clone());
-    if let Some((origin, until)) = found {
+    let origin = known.as_ref().map(|(origin, _)| origin.clone());
+    if let Some((origin, until)) = known {
         let now = cx.now();
         let mut state = cx.state.borrow_mut();
         state.stream_origins.record(now, stream, origin, until);
     }
+    let found = origin.and_then(|origin| with_service(cx, route, stream, origin));
     cx.log(
         EventCode::OriginAsked,
         [
             ("attempt", attempt.as_str().into()),
             ("asked", keepers.len().into()),
-            ("version", version.as_deref().into()),
+            ("service", found.as_ref().map(|f| f.service.as_str()).into()),
+            ("version", found.as_ref().map(|f| f.version.as_str()).into()),
         ],
     );
-    version
+    found
 }
 
-/// Returns the version of all engines of a service at which a stream may have begun; `None` if there are
-/// several, or if this instance cannot rule out that there are.
-async fn only_version(cx: &Rc<Context>, service: &str) -> Option<SmolStr> {
-    if !cx.state.borrow().pool.is_mixed(service) {
-        let confirmed = timeout(STORE_TIMEOUT, version_notes::confirm(cx)).await;
-        if !matches!(confirmed, Ok(Ok(()))) {
-            log::debug!("list of the versions of {service} not read, or not in time");
-            return None;
-        }
+/// Whether the store may have the records of streams of a route.
+fn is_recorded(cx: &Context, route: &Route) -> bool {
+    let state = cx.state.borrow();
+    let Some(splits) = KnownSplits::of(&state.pool, route) else {
+        return true;
+    };
+    let services = splits.services(route, None);
+    stream_records::are_services_recorded(&splits, route)
+        || services.iter().any(|service| state.pool.is_mixed(service))
+}
+
+/// Adds the service to the origin of a stream that an instance of an older build has recorded without it: the one
+/// that all splits of the route give for it, or the only one that has engines of the version.
+fn with_service(
+    cx: &Context,
+    route: &Route,
+    stream: StreamId,
+    origin: StreamOrigin,
+) -> Option<FoundOrigin> {
+    let version = origin.version;
+    if let Some(service) = origin.service {
+        return Some(FoundOrigin { service, version });
     }
     let state = cx.state.borrow();
-    let mut versions = state.pool.versions(service).into_iter();
-    match (versions.next(), versions.next()) {
-        (Some(only), None) if state.pool.knows_versions() => Some(only.clone()),
-        _ => None,
+    let splits = KnownSplits::of(&state.pool, route)?;
+    let mut services = splits.services(route, Some(stream));
+    if services.len() > 1 {
+        services.retain(|service| state.pool.versions(service).contains(&version));
     }
+    let service = only(services)?;
+    Some(FoundOrigin { service, version })
+}
+
+fn only<T>(items: impl IntoIterator<Item = T>) -> Option<T> {
+    let mut items = items.into_iter();
+    let first = items.next()?;
+    items.next().is_none().then_some(first)
+}
+
+/// Returns where a stream must have begun, or all streams of the route: at the service that all splits of the route
+/// give, and at the version of all its engines. `None` if there are several, or if this instance cannot rule out
+/// that there are.
+async fn infer(cx: &Rc<Context>, route: &Route, stream: Option<StreamId>) -> Option<FoundOrigin> {
+    // If there are several already, the list in the store cannot show that there is one.
+    only_origin(cx, route, stream)?;
+    let confirmed = timeout(STORE_TIMEOUT, version_notes::confirm(cx)).await;
+    if !matches!(confirmed, Ok(Ok(()))) {
+        log::debug!(
+            "list of versions for route {} not read, or not in time",
+            route.name
+        );
+        return None;
+    }
+    let is_known = cx.state.borrow().pool.knows_versions();
+    only_origin(cx, route, stream).filter(|_| is_known)
+}
+
+/// Returns the only service and version at which a stream may have begun, as far as this instance has heard.
+fn only_origin(cx: &Context, route: &Route, stream: Option<StreamId>) -> Option<FoundOrigin> {
+    let state = cx.state.borrow();
+    let splits = KnownSplits::of(&state.pool, route)?;
+    let service = only(splits.services(route, stream))?;
+    let version = only(state.pool.versions(&service))?.clone();
+    Some(FoundOrigin { service, version })
 }
 
 async fn find_in_store(cx: &Rc<Context>, stream: StreamId) -> Option<KnownOrigin> {
@@ -268,10 +339,12 @@
     let state = cx.state.borrow();
     let known = state.stream_origins.find(StreamId(call.stream));
     let left_ms = known.map(|(_, until)| until.saturating_sub(now).as_millis() as u64);
+    let origin = known.map(|(origin, _)| origin);
     let answer = OriginAnswer {
         number: call.number,
-        version: known.map(|(origin, _)| origin.version.clone()),
+        version: origin.map(|origin| origin.version.clone()),
         left_ms,
+        service: origin.and_then(|origin| origin.service.clone()),
     };
     drop(state);
     cx.permits.send(Message::OriginAnswer(answer), from);
@@ -280,10 +353,10 @@
 /// Passes an answer on to the call that waits for it.
 pub fn handle_answer(cx: &Context, answer: OriginAnswer) {
     let until = known_until(cx.now(), answer.left_ms);
-    let origin = answer.version.map(|version| StreamOrigin {
-        service: None,
-        version,
-    });
+    let service = answer.service;
+    let origin = answer
+        .version
+        .map(|version| StreamOrigin { service, version });
     if let Some(tx) = cx.origin_calls.waiting.borrow().get(&answer.number) {
         // The call may have its answer already.
         let _ = tx.try_send(origin.map(|origin| (origin, until)));
--- a/crates/gateway/src/stream_records.rs
+++ b/crates/gateway/src/stream_records.rs
@@ -1,15 +1,17 @@
 //! Keeps in the store which version began each stream, for streams that callers take up after all
 //! instances that knew it have gone; see `docs/design/stream-versions.md`.
 //!
-//! Only while engines of several versions serve, or did lately. Each instance sends its records to the
+//! Only while engines of several versions serve, or did lately, and for routes whose streams begin at several
+//! services, or did lately. Each instance sends its records to the
 //! delegate of its zone, which writes those of many streams at once.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::iter::{repeat, repeat_n};
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{Delegate, JournalRow, StreamId, StreamOrigin, retention_end};
+use jacinthlever_routing::{Delegate, JournalRow, Route, StreamId, StreamOrigin, retention_end};
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::Mutex;
@@ -19,6 +21,7 @@
 use crate::caller_request::CallerRequest;
 use crate::context::Context;
 use crate::peers::Message;
+use crate::route_splits::{self, KnownSplits};
 use crate::store::{OwnVersion, OwnWriteResult, StoreClient, StoreError};
 use crate::stream_origins::StreamBegan;
 use crate::table_updates::log_unreadable_row;
@@ -42,6 +45,47 @@
     since_ms: u64,
     /// Streams by the version that began them.
     streams: BTreeMap<SmolStr, Vec<u64>>,
+    /// Services of the streams of each version, in the same order: the name, and the number of streams in
+    /// succession. Builds up to 57e2313 neither read nor write it.
+    #[serde(default)]
+    services: BTreeMap<SmolStr, Vec<(SmolStr, usize)>>,
+}
+
+impl StreamsRow {
+    fn new(row: &JournalRow, until_ms: u64) -> Self {
+        let mut content = Self {
+            since_ms: until_ms.saturating_sub(ROW_RETENTION.as_millis() as u64),
+            streams: BTreeMap::new(),
+            services: BTreeMap::new(),
+        };
+        for (origin, numbers) in &row.streams {
+            let version = &origin.version;
+            let list = content.streams.entry(version.clone()).or_default();
+            list.extend(numbers.iter().map(|stream| stream.0));
+            let service = origin.service.clone().unwrap_or_default();
+            let services = content.services.entry(version.clone()).or_default();
+            services.push((service, numbers.len()));
+        }
+        content
+    }
+
+    /// Returns the streams and where they began.
+    fn into_origins(mut self) -> Vec<(u64, StreamOrigin)> {
+        let mut origins = Vec::new();
+        for (version, numbers) in self.streams {
+            let services = self.services.remove(&version).unwrap_or_default();
+            let services = services.into_iter().flat_map(|(service, count)| {
+                let service = Some(service).filter(|service| !service.is_empty());
+                repeat_n(service, count)
+            });
+            let services = services.chain(repeat(None));
+            origins.extend(numbers.into_iter().zip(services).map(|(number, service)| {
+                let version = version.clone();
+                (number, StreamOrigin { service, version })
+            }));
+        }
+        origins
+    }
 }
 
 /// Reader of the records of all instances.
@@ -64,8 +108,13 @@
     }
 }
 
+/// Whether the store has the streams of a route since they may have begun at several services.
+pub fn are_services_recorded(splits: &KnownSplits, route: &Route) -> bool {
+    splits.have_changed() || route_splits::is_split(route)
+}
+
 /// Has a stream recorded in the store, where it must be known until a time, if the versions of its service's
-/// engines differ.
+/// engines differ, or the services of its route's streams.
 pub fn record(
     cx: &Context,
     req: &CallerRequest,
@@ -73,7 +122,13 @@
     origin: &StreamOrigin,
     until: Duration,
 ) {
-    if cx.state.borrow().pool.is_mixed(&req.service) {
+    let is_recorded = {
+        let state = cx.state.borrow();
+        let splits = KnownSplits::of(&state.pool, &req.route);
+        state.pool.is_mixed(&req.service)
+            || splits.is_none_or(|splits| are_services_recorded(&splits, &req.route))
+    };
+    if is_recorded {
         send(cx, stream, origin, until);
     }
 }
@@ -166,16 +221,7 @@
 ) -> Result<OwnWriteResult, StoreError> {
     // The clock is known, since the servers were read before a stream could begin.
     let until_ms = cx.state.borrow().store_clock.to_store(row.until);
-    let mut streams: BTreeMap<SmolStr, Vec<u64>> = BTreeMap::new();
-    for (origin, numbers) in &row.streams {
-        let list = streams.entry(origin.version.clone()).or_default();
-        list.extend(numbers.iter().map(|stream| stream.0));
-    }
-    let retention_ms = ROW_RETENTION.as_millis() as u64;
-    let content = StreamsRow {
-        since_ms: until_ms.unwrap_or_default().saturating_sub(retention_ms),
-        streams,
-    };
+    let content = StreamsRow::new(row, until_ms.unwrap_or_default());
     let mut value = Vec::new();
     ciborium::into_writer(&content, &mut value)
         .map_err(|error| StoreError::Unreadable(error.to_string()))?;
@@ -210,13 +256,8 @@
     for row in decoded.filter_map(|row| decode(cx, row, rows.store_ms)) {
         let left = row.since_ms.saturating_sub(rows.store_ms);
         let until = retention_end(now, now + Duration::from_millis(left) + ROW_RETENTION);
-        for (version, numbers) in row.streams {
-            let origin = StreamOrigin {
-                service: None,
-                version,
-            };
-            let list = streams.entry(origin).or_default();
-            list.extend(numbers.into_iter().map(|number| (number, until)));
+        for (number, origin) in row.into_origins() {
+            streams.entry(origin).or_default().push((number, until));
         }
     }
     streams
--- a/crates/gateway/src/table_updates.rs
+++ b/crates/gateway/src/table_updates.rs
@@ -88,6 +88,7 @@
     }
     let applied = cx.state.borrow_mut().apply(cx.now(), row.version, config);
     if applied {
+        cx.engine_versions_changed.notify_one();
         let fields = [
             ("version", number.into()),
             ("row", row.version.into()),
--- a/crates/gateway/src/version_notes.rs
+++ b/crates/gateway/src/version_notes.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{Listed, MIN_STREAM_RETENTION, RouteKind, Versions, retention_end};
+use jacinthlever_routing::{Listed, MIN_STREAM_RETENTION, Route, Versions, retention_end};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::Mutex;
@@ -13,6 +13,7 @@
 
 use crate::backoff::Backoff;
 use crate::context::Context;
+use crate::route_splits::{self, KnownSplits};
 use crate::store::{StoreClient, StoreError, WriteResult};
 use crate::stream_records;
 use crate::table_updates::log_unreadable_row;
@@ -25,13 +26,16 @@
 /// to read has written the list before most others read it.
 const FIRST_READ_SPREAD: Duration = Duration::from_millis(1500);
 
+/// Interval at which records that are no longer needed are removed while others are written.
+const REMOVAL_INTERVAL: Duration = Duration::from_secs(120);
+
 /// Minimum time that the delegate of the fleet has to write a change before others do so.
 const DELEGATE_LEAD: Duration = Duration::from_millis(150);
 
 /// Random time added to [`DELEGATE_LEAD`].
 const OTHERS_SPREAD: Duration = Duration::from_millis(450);
 
-/// Row of [`Table::Versions`]; its key is the service.
+/// Row of [`Table::Versions`]; its key is the service, or [`jacinthlever_routing::ROUTE_SPLITS`].
 #[derive(Debug, Deserialize, Serialize)]
 struct VersionsRow {
     versions: BTreeSet<SmolStr>,
@@ -99,16 +103,22 @@
         sleep(backoff.next_delay(cx.random())).await;
     }
     let mut recorded = BTreeSet::new();
+    let mut remove_outdated_at = None;
     loop {
         plan_for_routes(&cx);
         let (now, store_ms) = (cx.now(), store_ms(&cx));
         cx.state.borrow_mut().pool.forget_versions(now, store_ms);
-        let mixed = cx.state.borrow().pool.mixed_services();
-        let newly_mixed: BTreeSet<_> = mixed.difference(&recorded).cloned().collect();
-        if !newly_mixed.is_empty() {
-            stream_records::record_earlier(&cx, &newly_mixed);
+        let to_record = services_to_record(&cx);
+        let others: BTreeSet<_> = to_record.difference(&recorded).cloned().collect();
+        if !others.is_empty() {
+            stream_records::record_earlier(&cx, &others);
+        }
+        recorded = to_record;
+        remove_outdated_at.get_or_insert(now + REMOVAL_INTERVAL);
+        if remove_outdated_at.is_some_and(|at| now >= at) {
+            remove_outdated_at = None;
+            remove_outdated_records(&cx, &mut client, !recorded.is_empty()).await;
         }
-        recorded = mixed;
         let must_read = restored.has_changed().unwrap_or(false);
         restored.mark_unchanged();
         if must_read || !changes(&cx).is_empty() {
@@ -122,6 +132,32 @@
     }
 }
 
+/// Returns the services whose streams are recorded in the store.
+fn services_to_record(cx: &Context) -> BTreeSet<SmolStr> {
+    let state = cx.state.borrow();
+    let mut services = state.pool.mixed_services();
+    let routes = state.config.iter().flat_map(|config| &config.routes);
+    for route in routes.filter(|route| route_splits::has_resumable_streams(route)) {
+        if let Some(splits) = KnownSplits::of(&state.pool, route)
+            && stream_records::are_services_recorded(&splits, route)
+        {
+            services.extend(splits.services(route, None));
+        }
+    }
+    services
+}
+
+/// Removes records that are no longer needed while others are written, by the delegate of the fleet.
+async fn remove_outdated_records(cx: &Context, client: &mut StoreClient, has_others: bool) {
+    let is_remover = cx.state.borrow().members.is_fleet_delegate(cx.now());
+    if !has_others || !is_remover {
+        return;
+    }
+    if let Err(error) = stream_records::remove_outdated(cx, client).await {
+        log::debug!("outdated records of streams not removed, next try in a while: {error}");
+    }
+}
+
 /// Returns the lists that the store should have and does not.
 fn changes(cx: &Context) -> Versions {
     let store_ms = store_ms(cx);
@@ -139,17 +175,17 @@
 fn plan_for_routes(cx: &Context) {
     let config = cx.state.borrow().config.clone();
     let routes = config.iter().flat_map(|config| &config.routes);
-    let routes = routes.filter(|r| r.kind == RouteKind::Stream && r.is_resumable);
+    let routes = routes.filter(|route| route_splits::has_resumable_streams(route));
     for route in routes {
         for destination in &route.destinations {
-            await_callers(cx, &destination.service, cx.now() + route.timeout);
+            await_callers(cx, route, &destination.service, cx.now() + route.timeout);
         }
     }
 }
 
-/// Has the store list the versions of a service for as long as a caller may take up a stream that begins now,
-/// and returns whether it does. The caller waits until `waits_until`.
-pub fn await_callers(cx: &Context, service: &str, waits_until: Duration) -> bool {
+/// Has the store list the versions of a service, and the split of the route, for as long as a caller may take up a
+/// stream that begins now, and returns whether it lists the versions. The caller waits until `waits_until`.
+pub fn await_callers(cx: &Context, route: &Route, service: &str, waits_until: Duration) -> bool {
     let now = cx.now();
     let until = retention_end(now, waits_until);
     let mut state = cx.state.borrow_mut();
@@ -160,7 +196,8 @@
         return false;
     };
     let wait_ms = (until - now).as_millis() as u64;
-    state.pool.await_callers(service, until_ms, wait_ms);
+    let split = route_splits::in_force(route);
+    state.pool.await_callers(service, &split, until_ms, wait_ms);
     state.pool.is_listed_until(service, until_ms)
 }
 
--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -19,10 +19,20 @@
 /// is only seconds old.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
-/// Shortest time for which the version of servers that are gone is remembered. It is longer if callers may
-/// take up streams for longer; see [`ServerPool::await_callers`].
+/// Shortest time for which the version of servers that are gone is remembered, or a traffic split that has been
+/// replaced. It is longer if callers may take up streams for longer; see [`ServerPool::await_callers`].
 const VERSION_RETENTION: Duration = MIN_STREAM_RETENTION;
 
+/// Name under which the traffic splits of routes are listed beside the versions of services.
+pub const ROUTE_SPLITS: &str = "route-splits";
+
+/// Maximum number of traffic splits that are listed, which is far below the store's limit of a row's size.
+const MAX_LISTED_SPLITS: usize = 256;
+
+/// Listed in place of the traffic splits if there are too many. No split has this name, so that an instance which
+/// reads it infers no service from the list.
+const TOO_MANY_SPLITS: &str = "too many";
+
 /// Cost of a server in another zone, in the unit of the load: 1 is the load of a server whose slots
 /// are all in use.
 const REMOTE_ZONE_COST: f64 = 0.5;
@@ -152,8 +162,12 @@
     by_id: BTreeMap<SmolStr, ServerKey>,
     /// Start time of servers whose registration was removed, and when that was.
     removed: BTreeMap<SmolStr, (Option<u64>, Duration)>,
-    /// When a server of a service with a version was last registered, by service and version.
+    /// When a server of a service with a version was last registered, by service and version, and when a traffic
+    /// split was last in force, under [`ROUTE_SPLITS`].
     versions: BTreeMap<(SmolStr, SmolStr), Duration>,
+    /// Traffic splits in force of the routes whose streams begin at several services, in an encoding of the
+    /// caller's.
+    splits: BTreeSet<SmolStr>,
     /// Until when callers may take up streams that begin now, where that is later than after
     /// [`VERSION_RETENTION`]; by the same keys as `versions`.
     awaited: BTreeMap<(SmolStr, SmolStr), AwaitedCallers>,
@@ -237,13 +251,28 @@
         self.notes.as_mut()
     }
 
+    /// Replaces the traffic splits in force of the routes whose streams begin at several services. `replaced` has
+    /// those of any route that are no longer in force.
+    pub fn set_route_splits(
+        &mut self,
+        now: Duration,
+        in_force: BTreeSet<SmolStr>,
+        replaced: BTreeSet<SmolStr>,
+    ) {
+        self.splits = in_force;
+        for split in replaced {
+            self.versions.insert((ROUTE_SPLITS.into(), split), now);
+        }
+    }
+
     /// Records that a caller may take up a stream of a service until `until_ms`, by the store's clock, which is
-    /// `wait_ms` after the stream began. Not needed for less than [`VERSION_RETENTION`].
-    pub fn await_callers(&mut self, service: &str, until_ms: u64, wait_ms: u64) {
+    /// `wait_ms` after the stream began under a traffic split. Not needed for less than [`VERSION_RETENTION`].
+    pub fn await_callers(&mut self, service: &str, split: &SmolStr, until_ms: u64, wait_ms: u64) {
         let servers = self.servers.values().map(|server| &server.entry);
         let engines = servers.filter(|e| e.role.is_some() && e.service == service);
         let keys = engines.map(|e| (e.service.clone(), e.version.clone()));
-        for key in keys {
+        let split = (ROUTE_SPLITS.into(), split.clone());
+        for key in keys.chain([split]) {
             let awaited = self.awaited.entry(key).or_default();
             awaited.until_ms = awaited.until_ms.max(until_ms);
             awaited.wait_ms = wait_ms;
@@ -264,7 +293,7 @@
         })
     }
 
-    /// Returns the lists of versions that the store should have and does not; `store_ms` is the
+    /// Returns the lists of versions and traffic splits that the store should have and does not; `store_ms` is the
     /// time of its clock.
     pub fn note_changes(&self, now: Duration, store_ms: u64) -> Versions {
         let Some(notes) = &self.notes else {
@@ -274,22 +303,35 @@
         let servers = self.servers.values().map(|server| &server.entry);
         let engines = servers.filter(|e| e.role.is_some());
         let versions = engines.map(|e| (e.service.clone(), e.version.clone()));
-        for key in versions {
+        let splits = self.splits.iter();
+        let splits = splits.map(|split| (ROUTE_SPLITS.into(), split.clone()));
+        for key in versions.chain(splits) {
             let listed_ms = notes.stored_until(&key.0, &key.1);
             let awaited = self.awaited.get(&key);
             let wanted_ms = awaited.map_or(0, |awaited| awaited.wanted_ms(listed_ms));
             let list: &mut Listed = in_use.entry(key.0).or_default();
             list.insert(key.1, wanted_ms);
         }
-        for (subject, name) in self.versions.keys() {
-            if let Some(list) = in_use.get_mut(subject) {
-                list.entry(name.clone()).or_default();
+        // The list of splits may become empty; a service without engines keeps its list.
+        in_use.entry(ROUTE_SPLITS.into()).or_default();
+        for key in self.versions.keys() {
+            let awaited = self.awaited.get(key).filter(|_| key.0 == ROUTE_SPLITS);
+            let until_ms = awaited.map_or(0, |awaited| awaited.until_ms);
+            if let Some(list) = in_use.get_mut(&key.0) {
+                let known = list.entry(key.1.clone()).or_default();
+                *known = until_ms.max(*known);
             }
         }
+        if let Some(splits) = in_use.get_mut(ROUTE_SPLITS)
+            && splits.len() > MAX_LISTED_SPLITS
+        {
+            let until_ms = splits.values().copied().max();
+            *splits = Listed::from([(TOO_MANY_SPLITS.into(), until_ms.unwrap_or(0))]);
+        }
         notes.changes(&in_use, now >= VERSION_RETENTION, store_ms)
     }
 
-    /// Forgets versions that the store no longer lists; `store_ms` is the time of its clock.
+    /// Forgets versions and traffic splits that the store no longer lists; `store_ms` is the time of its clock.
     pub fn forget_versions(&mut self, now: Duration, store_ms: u64) {
         self.awaited
             .retain(|_, awaited| store_ms < awaited.until_ms);
@@ -390,6 +432,10 @@
             let version = (entry.service.clone(), entry.version.clone());
             self.versions.insert(version, now);
         }
+        for split in &self.splits {
+            let split = (ROUTE_SPLITS.into(), split.clone());
+            self.versions.insert(split, now);
+        }
         self.versions.retain(|_, at| now < *at + VERSION_RETENTION);
         let is_expired = |s: &Server| {
             s.expired_at
@@ -453,19 +499,22 @@
     }
 
     /// Returns the versions of the servers of a service that are registered, or were lately, also as far
-    /// as only the store lists them.
+    /// as only the store lists them; for [`ROUTE_SPLITS`], the traffic splits under which streams may have
+    /// begun.
     pub fn versions(&self, service: &str) -> BTreeSet<&SmolStr> {
         let lately = self.versions.keys();
         let lately = lately
             .filter(|(name, _)| name == service)
             .map(|(_, version)| version);
+        let splits = self.splits.iter().filter(|_| service == ROUTE_SPLITS);
         let registered = self.servers.values().map(|s| &s.entry);
         let registered = registered
             .filter(|entry| entry.service == service)
             .map(|entry| &entry.version);
         let noted = self.notes.iter().flat_map(|notes| notes.listed(service));
         let noted = noted.map(|(version, _)| version);
-        lately.chain(registered).chain(noted).collect()
+        let known = lately.chain(registered).chain(splits);
+        known.chain(noted).collect()
     }
 
     /// Whether a decode engine that may be picked exists, also if it has no room now.
--- a/crates/routing/tests/long_deadlines.rs
+++ b/crates/routing/tests/long_deadlines.rs
@@ -166,7 +166,7 @@
     for s in 1..=30 {
         let now = secs(s);
         if s <= 20 {
-            first.await_callers("service", ms(now + WAIT), ms(WAIT));
+            first.await_callers("service", &"split".into(), ms(now + WAIT), ms(WAIT));
         }
         write(&mut first, now, &mut stored);
         let is_covered = first.is_listed_until("service", ms(now + WAIT));
@@ -202,7 +202,7 @@
     let (mut writes, mut waits) = (0, 0);
     for tick in 10..6000 {
         let now = Duration::from_millis(tick * 100);
-        pool.await_callers("service", ms(now + WAIT), ms(WAIT));
+        pool.await_callers("service", &"split".into(), ms(now + WAIT), ms(WAIT));
         waits += u32::from(!pool.is_listed_until("service", ms(now + WAIT)));
         writes += u32::from(write(&mut pool, now, &mut stored));
     }
@@ -215,7 +215,7 @@
 fn a_version_that_an_older_build_takes_off_the_list_is_listed_again() {
     let mut stored = Versions::new();
     let mut pool = pool(&["v1"]);
-    pool.await_callers("service", ms(secs(1) + WAIT), ms(WAIT));
+    pool.await_callers("service", &"split".into(), ms(secs(1) + WAIT), ms(WAIT));
     write(&mut pool, secs(1), &mut stored);
     pool.unregister(secs(2), "v1", false);
     let mut engine = entry("v2", "north", Some(EngineRole::Decode));
