An answer with a status outside 200 to 599 is none

What callers saw: a server's answer with status 600, 700 or 999 was forwarded as an answer, signed and framed as whole: at plain calls, at decodes and through another instance.

Cause: hyper takes three digits from 100 on for a status, and nothing here decided whether it is one; RFC 9110, section 15: 100 to 599.

Change: connection_pool::is_final, asked by Connection::send for servers and instances before anything else in an answer is used, and by the store's client. Nothing is known of a call with such an answer, so the request may have run. The check of status 101, which was made for servers alone, is part of it.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -104,13 +104,26 @@
         let sent = self.sender.try_send_request(request).await;
         self.progress.end();
         // A message that is returned with the error has not been written to the connection.
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::Unsent("connection closed at once"),
             None => SendError::Lost("connection broke"),
-        })
+        })?;
+        match is_final(response.status()) {
+            true => Ok(response),
+            false => Err(INVALID_STATUS),
+        }
     }
 }
 
+/// An answer whose status cannot be that of one; see [`is_final`].
+pub const INVALID_STATUS: SendError = SendError::Lost("answer with an invalid status");
+
+/// Whether a status can be that of an answer. Informational ones precede it, and beyond 599 there are none; see RFC
+/// 9110, section 15. Nothing is known of a call whose answer has another status.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Idle connections to servers with keys of type `K`.
 pub struct ConnectionPool<K> {
     idle: RefCell<BTreeMap<K, Vec<IdleConnection>>>,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -319,12 +319,6 @@
             attribution::log_foreign(cx, server, self.status, head, self.request_id.as_ref());
             return Err(error);
         }
-        if self.status.is_informational() {
-            cx.record_outcome(server, CallOutcome::Broken);
-            return Err(SendError::Lost(
-                "informational answer in place of a final one",
-            ));
-        }
         if head.is_other_server {
             cx.record_outcome(server, CallOutcome::Unresponsive);
             return Err(SendError::NotRun("another server has the address"));
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,7 +12,7 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::connection_pool::{RequestBody, connect};
+use crate::connection_pool::{RequestBody, connect, is_final};
 use crate::context::Context;
 use crate::server_stream::HeadProgress;
 use crate::store_version;
@@ -57,6 +57,8 @@
     TooLarge,
     /// The store refused the call with this status; the call was not carried out.
     Refused(StatusCode),
+    /// The answer has this status, which no answer can have; a write may have been carried out.
+    Invalid(StatusCode),
     /// The answer cannot be decoded, or the call cannot be encoded; holds the cause.
     Unreadable(String),
 }
@@ -77,6 +79,13 @@
                     "answer of the store exceeds {MAX_ANSWER_BYTES} bytes, or a table {MAX_TABLE_BYTES}"
                 )
             }
+            Self::Invalid(status) => {
+                write!(
+                    f,
+                    "answer of the store has the invalid status {}",
+                    status.as_u16()
+                )
+            }
             Self::Refused(status) => write!(f, "store refused the call with status {status}"),
             Self::Unreadable(cause) => write!(f, "answer of the store cannot be decoded: {cause}"),
         }
@@ -396,6 +405,9 @@
             .await
             .unwrap_or(Err(StoreError::Unanswered))?;
         let status = response.status();
+        if !is_final(status) {
+            return Err(StoreError::Invalid(status));
+        }
         let era = (self.cx.adapter.store.era)(response.headers());
         self.record_era(era)?;
         let bytes = self.receive_body(response.into_body()).await?;
