A second instance's refusal does not speak for a stream that was given up

Cause: an instance that reaches no engine passes a stream on. If the other instance falls silent before its answer, the stream is passed on to a second one, and that one's answer was forwarded whatever it was. It knows nothing of what the first one had sent. relay::send asked this for the instances of one call, send_elsewhere did not between its calls.

Change: after a run was given up, another instance's refusal is answered as one that may have run (502).

--- a/crates/gateway/src/generation.rs
+++ b/crates/gateway/src/generation.rs
@@ -28,7 +28,7 @@
 use crate::prefill::{PrefillProgress, Prefills};
 use crate::quarantine;
 use crate::reach;
-use crate::relay::{self, RelayedAnswer, SILENT_INSTANCE};
+use crate::relay::{self, REFUSED_ELSEWHERE, RelayedAnswer, SILENT_INSTANCE};
 use crate::replacement::Progress;
 use crate::reservation::{KvCache, Reservation};
 use crate::sends::{BUDGET_SPENT, SendTicket};
@@ -256,6 +256,10 @@
                 Err(verdict) if may_give_up && verdict.reason() == SILENT_INSTANCE.reason() => {
                     self.record_lost_run();
                 }
+                // An instance that refuses knows nothing of the run that was given up.
+                Ok(answer) if self.possible_runs > 0 && answer.is_refusal() => {
+                    return Err(Verdict::lost(REFUSED_ELSEWHERE.reason()));
+                }
                 sent => return sent,
             }
         }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -20,7 +20,7 @@
 };
 use crate::held_body::HeldBody;
 use crate::reach;
-use crate::relay::{self, NO_RELAY};
+use crate::relay::{self, NO_RELAY, REFUSED_ELSEWHERE};
 use crate::sends::SendTicket;
 use crate::suspects::{self, BrokenRun};
 use crate::{EventCode, ServerHeaders};
@@ -32,9 +32,6 @@
 /// Delay after which a caller may retry when no server accepted the request.
 const RETRY_AFTER_NO_SERVER: Duration = Duration::from_millis(300);
 
-/// Another instance has given no server's answer.
-const REFUSED_ELSEWHERE: SendError = SendError::Unsent("another instance did not answer it");
-
 /// A complete answer of a server, or of another instance.
 struct FullResponse {
     status: StatusCode,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,7 +26,7 @@
 use crate::drain;
 use crate::exchange::{
     MAX_ANSWER_BYTES, NO_ANSWER_MEMORY, STOPS_TOO_SOON, SendError, TIMED_OUT, UNSIGNED,
-    forwardable_headers, head_timeout, idle_timeout, is_delimited,
+    forwardable_headers, head_timeout, idle_timeout, implies_not_run, is_delimited,
 };
 use crate::held_body::{HeldBody, ReadError};
 use crate::reach;
@@ -65,6 +65,9 @@
 /// The instance to which the request was passed on sent nothing for too long.
 pub const SILENT_INSTANCE: SendError = SendError::Lost("instance is silent");
 
+/// Another instance has given no server's answer.
+pub const REFUSED_ELSEWHERE: SendError = SendError::Unsent("another instance did not answer it");
+
 /// No other instance is known that reaches servers of the service.
 pub const NO_RELAY: SendError = SendError::Unsent(OUT_OF_REACH);
 
@@ -386,6 +389,11 @@
         (self.cx.adapter.servers.decode_head)(self.status, &self.headers).is_signed
     }
 
+    /// Whether it is the verdict of the other instance that the request has not run there.
+    pub fn is_refusal(&self) -> bool {
+        !self.is_from_server() && implies_not_run(self.status)
+    }
+
     /// Reads the entire body, up to the caller's deadline.
     ///
     /// # Errors
