A relayed stream is not given up while its instance is heard of

Cause: a run through another instance that sends no event for some time counted as failed and was dropped before there was another way, and the instance was barred for a second, so that streams that were given up together barred all instances for each other. Silence of the engine cannot be told from silence of the instance by the stream alone.

Change: such a run is given up only if its instance is not ready, by its reports, and there is another way. That is the rule that holds before the head of an answer already (wait_until_lost), now for both. A connection between instances that goes silent for good is noticed by keep-alive probes, once a second and only on connections over which requests are passed on.

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use jacinthlever_routing::{CallIdentity, ConnectionHistory};
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -29,6 +29,10 @@
 /// Time after which a connection with unacknowledged bytes is closed (`TCP_USER_TIMEOUT`).
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time without a byte after which the other side of a monitored connection is probed, and interval of the probes.
+/// `TCP_USER_TIMEOUT` also decides when they give up; see tcp(7).
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+
 /// Idle time after which a connection is not reused if the server announces no idle time-out.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -68,7 +72,20 @@
     /// # Errors
     /// Fails if the connection cannot be established within [`CONNECT_TIMEOUT`].
     pub async fn open(cx: &Context, address: &str) -> Result<Self, SendError> {
-        let opened = connect(address).await;
+        Self::open_with(cx, address, false).await
+    }
+
+    /// Opens a connection as [`Connection::open`] that breaks after [`TCP_USER_TIMEOUT`] if the other side does not
+    /// answer keep-alive probes, also while nothing is to be sent.
+    ///
+    /// # Errors
+    /// Fails as [`Connection::open`].
+    pub async fn open_monitored(cx: &Context, address: &str) -> Result<Self, SendError> {
+        Self::open_with(cx, address, true).await
+    }
+
+    async fn open_with(cx: &Context, address: &str, is_monitored: bool) -> Result<Self, SendError> {
+        let opened = connect_with(address, is_monitored).await;
         let (sender, progress) = opened.map_err(|_| NO_CONNECTION)?;
         let number = cx.connections_opened.get() + 1;
         cx.connections_opened.set(number);
@@ -200,11 +217,25 @@
 /// # Errors
 /// Fails if the connection cannot be established within [`CONNECT_TIMEOUT`].
 pub async fn connect(address: &str) -> io::Result<(SendRequest<RequestBody>, Rc<HeadProgress>)> {
+    connect_with(address, false).await
+}
+
+async fn connect_with(
+    address: &str,
+    is_monitored: bool,
+) -> io::Result<(SendRequest<RequestBody>, Rc<HeadProgress>)> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    if is_monitored {
+        let probes = TcpKeepalive::new()
+            .with_time(KEEPALIVE_TIME)
+            .with_interval(KEEPALIVE_TIME);
+        socket.set_tcp_keepalive(&probes)?;
+    }
     let progress = Rc::new(HeadProgress::default());
     let io = TokioIo::new(ServerStream::new(stream, progress.clone()));
     let mut client = http1::Builder::new();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -60,7 +60,7 @@
 const HEAD_TARGETS: f64 = 1.5;
 
 /// Interval at which it is then checked that the instance is ready.
-const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const LOST_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The instance to which the request was passed on sent nothing for too long.
 pub const SILENT_INSTANCE: SendError = SendError::Lost("instance is silent");
@@ -299,7 +299,10 @@
     let exchange = exchange(cx, req, address, attempts, last_event);
     let given_up = async {
         match may_give_up {
-            true => wait_until_lost(cx, req, address).await,
+            true => {
+                let patience = req.route.target_latency.mul_f64(HEAD_TARGETS);
+                wait_until_lost(cx, req, address, patience).await;
+            }
             false => pending().await,
         }
     };
@@ -333,13 +336,20 @@
     Ok(answer)
 }
 
-/// Waits until an instance to which a stream was passed on should have answered, is not ready, and another
-/// one is known.
-async fn wait_until_lost(cx: &Context, req: &CallerRequest, address: &SmolStr) {
-    sleep(req.route.target_latency.mul_f64(HEAD_TARGETS)).await;
+/// Waits until an instance to which a stream was passed on has been silent for `patience`, is not ready, and there is
+/// another way: another instance, or the servers, which may be in reach again.
+pub async fn wait_until_lost(
+    cx: &Context,
+    req: &CallerRequest,
+    address: &SmolStr,
+    patience: Duration,
+) {
+    sleep(patience).await;
     let is_ready = || cx.state.borrow().members.is_ready_at(cx.now(), address);
-    while is_ready() || pick(cx, req, from_ref(address)).is_none() {
-        sleep(HEAD_CHECK_INTERVAL).await;
+    let has_other_way =
+        || pick(cx, req, from_ref(address)).is_some() || !reach::is_out_of_reach(cx, &req.service);
+    while is_ready() || !has_other_way() {
+        sleep(LOST_CHECK_INTERVAL).await;
     }
 }
 
@@ -355,7 +365,7 @@
         let idle = cx.relays.pool.reuse(cx.now(), address, call);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => Connection::open(cx, address).await?,
+            None => Connection::open_monitored(cx, address).await?,
         };
         let mut request = Request::builder()
             .method(req.method.clone())
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,5 +1,6 @@
 //! Forwards a stream of events to a caller and resumes it at another engine if one fails.
 
+use std::future::pending;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,7 +34,7 @@
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Multiple of the time after which an engine without an event counts as unresponsive. Another instance
-/// counts as such after that and the latency target: it first waits for its engine itself, and then looks
+/// may be given up after that and the latency target: it first waits for its engine itself, and then looks
 /// for another one.
 const INSTANCE_TIMEOUT_FACTOR: f64 = 1.75;
 
@@ -173,8 +174,9 @@
     /// Waits for the next complete events of a run; `None` at its end.
     ///
     /// Another instance waits for its engines in the same way, so only the run at an own engine is replaced
-    /// here while it may still go on. One through an instance that is silent for longer has failed: that
-    /// instance may have stopped without closing its connections.
+    /// here while it may still go on. One through an instance that is silent for longer is given up only if
+    /// that instance is not heard of either, and there is another way: it may have stopped without closing its
+    /// connections. One that breaks without a sign is noticed by its keep-alive probes.
     async fn receive(&mut self, mut run: StreamRun) -> Progress<(StreamRun, Events)> {
         let patience = self.event_timeout();
         let can_resume = self.can_resume();
@@ -205,16 +207,21 @@
         }
         let target = generation.req().route.target_latency;
         let patience = patience.mul_f64(INSTANCE_TIMEOUT_FACTOR) + target;
-        let may_give_up = can_resume && generation.may_replace_run() && patience < left;
-        match timeout(if may_give_up { patience } else { left }, events).await {
-            Ok(made) => Progress::of(made),
-            Err(_) if may_give_up => {
-                if let RunSource::Instance(address) = &source {
-                    generation.cx().relays.avoid(generation.cx().now(), address);
+        let may_give_up = can_resume && generation.may_replace_run();
+        let (cx, req) = (generation.cx().clone(), generation.req().clone());
+        let lost = async {
+            match &source {
+                RunSource::Instance(address) if may_give_up => {
+                    relay::wait_until_lost(&cx, &req, address, patience).await;
+                    cx.relays.avoid(cx.now(), address);
                 }
-                Progress::Failed(SILENT_INSTANCE)
+                _ => pending().await,
             }
-            Err(_) => Progress::TimedOut,
+        };
+        tokio::select! {
+            biased;
+            made = timeout(left, events) => made.map_or(Progress::TimedOut, Progress::of),
+            () = lost => Progress::Failed(SILENT_INSTANCE),
         }
     }
 
