All lines of the log are written by one thread

Cause: events wait in a bounded queue for the thread that writes them, but lines of the log macros (11 places, log::warn and below) were written to the same output by the thread that serves requests, which then waited for the lock.

Change: the queue is the logger of the process (log_queue). Whatever is logged goes through it; the event log has the rate limit and counts what the queue has dropped (JL1601 as before), and no queue and thread of its own.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -39,8 +39,7 @@
     pub may_have_run: Cell<u64>,
 }
 
-/// Shared context of a running instance. All its tasks run on one thread; only the event log has a
-/// thread of its own.
+/// Shared context of a running instance. All its tasks run on one thread; only the log is written on another.
 pub struct Context {
     /// Settings in force; replaced when the file changes.
     pub settings: RefCell<Rc<Settings>>,
@@ -116,10 +115,10 @@
 }
 
 impl Context {
-    /// Creates the context and starts the event log.
+    /// Creates the context.
     ///
     /// # Errors
-    /// Fails if the event log or the metrics cannot be started.
+    /// Fails if the metrics cannot be started.
     pub fn open(settings: Settings, adapter: Adapter) -> std::io::Result<Rc<Self>> {
         let clock = Clock::start();
         let incarnation = crate::event_log::unix_ms();
@@ -137,7 +136,7 @@
             connections_opened: Cell::new(0),
             relays: Relays::default(),
             capacity_queue: CapacityQueue::default(),
-            event_log: EventLog::spawn(clock)?,
+            event_log: EventLog::new(clock),
             memory: MemoryBudget::new(clock),
             system_memory: system_memory::read(),
             metrics: Metrics::open()?,
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -1,17 +1,11 @@
-//! Structured log lines, written by a separate thread.
+//! Structured log lines, of which only so many are written a second.
 
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use serde_json::{Map, Value};
 
-use crate::{Clock, EventCode};
-
-/// Maximum number of lines that wait for the writing thread.
-const MAX_QUEUED_LINES: usize = 2048;
+use crate::{Clock, EventCode, log_queue};
 
 /// Maximum sustained rate of lines, in lines per second.
 const MAX_LINES_PER_S: f64 = 400.0;
@@ -19,15 +13,11 @@
 /// Maximum number of lines in a burst, after a time with few lines.
 const MAX_BURST_LINES: f64 = 800.0;
 
-/// Pause between two batches of lines, so that the thread writes many lines per wake-up.
-const BATCH_INTERVAL: Duration = Duration::from_millis(25);
-
-/// Log of the events of an instance, with a bounded queue to the thread that writes the lines.
+/// Log of the events of an instance.
 ///
-/// Lines that exceed the rate limit or the queue are dropped and counted, so that no request waits
-/// for a log line.
+/// Lines that exceed the rate limit, or the queue of the process's log, are dropped and counted, so that no request
+/// waits for a log line.
 pub struct EventLog {
-    lines: Sender<String>,
     clock: Clock,
     allowance: Cell<f64>,
     refilled_at: Cell<Duration>,
@@ -36,23 +26,15 @@
 }
 
 impl EventLog {
-    /// Creates a log and starts its writing thread.
-    ///
-    /// # Errors
-    /// Fails if the thread cannot be started.
-    pub fn spawn(clock: Clock) -> io::Result<Self> {
-        let (tx, rx) = bounded(MAX_QUEUED_LINES);
-        thread::Builder::new()
-            .name("journal".into())
-            .spawn(move || write_lines(&rx))?;
-        Ok(Self {
-            lines: tx,
+    /// Creates a log.
+    pub fn new(clock: Clock) -> Self {
+        Self {
             clock,
             allowance: Cell::new(MAX_BURST_LINES),
             refilled_at: Cell::new(Duration::ZERO),
             dropped: Cell::new(0),
             scratch: RefCell::new(Map::new()),
-        })
+        }
     }
 
     /// Logs an event with its fields, unless the rate limit or the queue is exceeded.
@@ -61,14 +43,14 @@
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
-        let dropped = self.dropped.replace(0);
+        let dropped = self.dropped.replace(0) + log_queue::take_dropped();
         if dropped > 0 {
-            self.enqueue(EventCode::LinesDropped, [("lines", dropped.into())]);
+            self.write(EventCode::LinesDropped, [("lines", dropped.into())]);
         }
-        self.enqueue(code, fields);
+        self.write(code, fields);
     }
 
-    fn enqueue<const N: usize>(&self, code: EventCode, fields: [(&str, Value); N]) {
+    fn write<const N: usize>(&self, code: EventCode, fields: [(&str, Value); N]) {
         let mut line = self.scratch.borrow_mut();
         line.clear();
         line.insert("at_ms".into(), unix_ms().into());
@@ -77,10 +59,7 @@
         for (name, value) in fields {
             line.insert(name.into(), value);
         }
-        let text = Value::Object(line.clone()).to_string();
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(text) {
-            self.dropped.set(self.dropped.get() + 1);
-        }
+        log::info!("{}", Value::Object(line.clone()));
     }
 
     fn try_spend_line(&self) -> bool {
@@ -100,13 +79,3 @@
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.map_or(0, |t| t.as_millis() as u64)
 }
-
-fn write_lines(lines: &Receiver<String>) {
-    while let Ok(line) = lines.recv() {
-        log::info!("{line}");
-        while let Ok(line) = lines.try_recv() {
-            log::info!("{line}");
-        }
-        thread::sleep(BATCH_INTERVAL);
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod held_body;
 mod held_events;
 mod instance;
+mod log_queue;
 mod memory_budget;
 mod memory_lease;
 mod metrics;
@@ -82,6 +83,7 @@
 pub use event_code::EventCode;
 pub use event_log::EventLog;
 pub use instance::Instance;
+pub use log_queue::open as open_log;
 pub use settings::{
     Bounds, Listen, Planning, Scheduling, Settings, SettingsError, StoreSettings, TranslateSettings,
 };
