--- a/crates/routing/src/server_pool.rs
+++ b/crates/routing/src/server_pool.rs
@@ -266,7 +266,8 @@
     }
 
     /// Records that a caller may take up a stream of a service until `until_ms`, by the store's clock, which is
-    /// `wait_ms` after the stream began under a traffic split. Not needed for less than [`VERSION_RETENTION`].
+    /// `wait_ms` after the stream began under a traffic split. Not needed for less than
+    /// [`MIN_STREAM_RETENTION`].
     pub fn await_callers(&mut self, service: &str, split: &SmolStr, until_ms: u64, wait_ms: u64) {
         let servers = self.servers.values().map(|server| &server.entry);
         let engines = servers.filter(|e| e.role.is_some() && e.service == service);
--- a/crates/routing/src/stream_journal.rs
+++ b/crates/routing/src/stream_journal.rs
@@ -152,7 +152,7 @@
         }
     }
 
-    /// Has the rows of the last [`REWRITE_PERIOD`] written again, since the store may have lost them.
+    /// Has the rows of the last 30 s written again, since the store may have lost them.
     pub fn write_again(&mut self, now: Duration) {
         self.has_news = !self.row.is_empty();
         for row in self.complete.values() {
