A removed row counts as absent when its version is read again

read_row leaves out a row that the store returns as removed: a write that expects its version would conflict each time. Wording of three comments.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -232,16 +232,16 @@
     pub async fn read_row(&mut self, table: Table, key: &str) -> Result<Option<Row>, StoreError> {
         let call = (self.cx.adapter.store.read_row)(table, key);
         let bytes = self.call_ok(call, Duration::ZERO).await?;
-        let rows = self.decode_rows(&bytes)?.rows;
-        Ok(rows.into_iter().find(|row| row.key == key))
+        let mut rows = self.decode_rows(&bytes)?.rows.into_iter();
+        Ok(rows.find(|row| row.key == key && row.value.is_some()))
     }
 
     /// Writes a row that this task writes again and again, on the condition that nobody else has written it;
-    /// `is_own` tells that from the row. `write.expected` is not used: the version that the row must have is
+    /// `is_own` recognizes the task's own row. `write.expected` is not used: the version that the row must have is
     /// `known`, and is updated.
     ///
-    /// This is the place where a version that has gone stale is told from a row that somebody else holds: the row is
-    /// read, and if it is still this task's own, the write is repeated.
+    /// A conflict means that the version is stale, or that another writer holds the row. The row is read to distinguish
+    /// them, and if it is still this task's own, the write is repeated.
     ///
     /// # Errors
     /// Fails as [`StoreClient::write`], or if the row changed after each read.
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -287,7 +287,7 @@
     only_origin(cx, route, stream).filter(|_| is_known)
 }
 
-/// Returns the only service and version at which a stream may have begun, as far as this instance has heard.
+/// Returns the only service and version at which a stream may have begun, as far as this instance knows.
 fn only_origin(cx: &Context, route: &Route, stream: Option<StreamId>) -> Option<FoundOrigin> {
     let state = cx.state.borrow();
     let splits = KnownSplits::of(&state.pool, route)?;
