--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -174,9 +174,9 @@
     /// Waits for the next complete events of a run; `None` at its end.
     ///
     /// Another instance waits for its engines in the same way, so only the run at an own engine is replaced
-    /// here while it may still go on. One through an instance that is silent for longer is given up only if
-    /// that instance is not heard of either, and there is another way: it may have stopped without closing its
-    /// connections. One that breaks without a sign is noticed by its keep-alive probes.
+    /// here while it may still go on. A run through another instance is given up if it is silent for longer, the
+    /// instance's reports have stopped too, and there is another way: the instance may have stopped without
+    /// closing its connections.
     async fn receive(&mut self, mut run: StreamRun) -> Progress<(StreamRun, Events)> {
         let patience = self.event_timeout();
         let can_resume = self.can_resume();
