Times that are left are told rounded up

Callers of an instance that is cut off from all servers saw streams end up to a millisecond before the time-out of their route, and then, for a second, 503 "no server of the service is reached" for new requests.

Cause: Deadline-Ms was rounded down to whole milliseconds. The instance or the server that was told it ended first; the one that told it took the end for a broken answer, barred the instance for a second or held the failure against the server, and sent the stream once more with no time left.

Now they are rounded up, and the end of a run at or after the deadline is the time-out. The party that tells the time ends first, whatever the network adds.

--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{Delegate, PermitCall, PermitLedger, ServerKey};
+use jacinthlever_routing::{Delegate, PermitCall, PermitLedger, ServerKey, time_left_ms};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
@@ -178,7 +178,7 @@
         sent_before: message.sent_before,
         is_cold: message.is_cold,
     };
-    let wait_ms = grant(cx, &call).err().map(|wait| wait.as_millis() as u64);
+    let wait_ms = grant(cx, &call).err().map(time_left_ms);
     let answer = PermitAnswer { number, wait_ms };
     cx.permits.send(Message::PermitAnswer(answer), from);
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,9 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use jacinthlever_routing::{CallIdentity, HoldingUse, MIN_STREAM_RETENTION, RouteKind};
+use jacinthlever_routing::{
+    CallIdentity, HoldingUse, MIN_STREAM_RETENTION, RouteKind, time_left_ms,
+};
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
@@ -381,8 +383,8 @@
         headers.insert(CONFIG_HEADER, HeaderValue::from(req.config.version));
         let wait = req.caller_waits_until.saturating_sub(cx.now());
         if wait > MIN_STREAM_RETENTION {
-            let wait_ms = wait.as_millis() as u64;
-            headers.insert(CALLER_WAIT_HEADER, HeaderValue::from(wait_ms));
+            let wait_ms = HeaderValue::from(time_left_ms(wait));
+            headers.insert(CALLER_WAIT_HEADER, wait_ms);
         }
         *request.headers_mut() = headers;
         match connection.send(request, call).await {
@@ -443,6 +445,10 @@
                 Ok(Ok(chunk)) => return Some(Ok(chunk)),
                 // Trailers are not forwarded.
                 Ok(Err(_)) => {}
+                // The instance may notice the deadline first.
+                Err(_) if self.req.time_left(self.cx.now()).is_zero() => {
+                    return Some(Err(TIMED_OUT));
+                }
                 Err(_) => {
                     self.cx.relays.avoid(self.cx.now(), &self.address);
                     return Some(Err(SendError::Lost("answer ended early")));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -129,7 +129,12 @@
                 return Some(Err(IncompleteBody("no engine".into())));
             };
             let left = run.source();
-            let result = match self.receive(run).await {
+            let progress = match self.receive(run).await {
+                // The engine or the instance may notice the deadline first.
+                Progress::Failed(_) if self.time_left().is_zero() => Progress::TimedOut,
+                progress => progress,
+            };
+            let result = match progress {
                 Progress::Made((run, Some(events))) => {
                     self.run = Some(run);
                     return Some(Ok(self.forward(events)));
@@ -181,8 +186,8 @@
         let patience = self.event_timeout();
         let can_resume = self.can_resume();
         let (source, last_event) = (run.source(), self.last_event);
+        let left = self.time_left();
         let generation = &mut self.generation;
-        let left = generation.req().time_left(generation.cx().now());
         // Events that are ready at once would be received after any time limit.
         if left.is_zero() {
             return Progress::TimedOut;
@@ -225,6 +230,11 @@
         }
     }
 
+    fn time_left(&self) -> Duration {
+        let generation = &self.generation;
+        generation.req().time_left(generation.cx().now())
+    }
+
     fn event_timeout(&self) -> Duration {
         let route = &self.generation.req().route;
         let limit = if self.has_event {
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -9,6 +9,7 @@
 
 use jacinthlever_routing::{
     KEEPERS, MAX_CALLER_WAIT, MIN_STREAM_RETENTION, Route, StreamId, StreamOrigin, retention_end,
+    time_left_ms,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -64,7 +65,7 @@
             stream: stream.0,
             version: origin.version.clone(),
             for_store: false,
-            left_ms: Some(left.as_millis() as u64),
+            left_ms: Some(time_left_ms(left)),
             service: origin.service.clone(),
         }
     }
@@ -338,7 +339,7 @@
     let now = cx.now();
     let state = cx.state.borrow();
     let known = state.stream_origins.find(StreamId(call.stream));
-    let left_ms = known.map(|(_, until)| until.saturating_sub(now).as_millis() as u64);
+    let left_ms = known.map(|(_, until)| time_left_ms(until.saturating_sub(now)));
     let origin = known.map(|(origin, _)| origin);
     let answer = OriginAnswer {
         number: call.number,
--- a/crates/gateway/src/version_notes.rs
+++ b/crates/gateway/src/version_notes.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthlever_routing::{Listed, MIN_STREAM_RETENTION, Route, Versions, retention_end};
+use jacinthlever_routing::{
+    Listed, MIN_STREAM_RETENTION, Route, Versions, retention_end, time_left_ms,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::Mutex;
@@ -195,7 +197,7 @@
     let Some(until_ms) = state.store_clock.to_store(until) else {
         return false;
     };
-    let wait_ms = (until - now).as_millis() as u64;
+    let wait_ms = time_left_ms(until - now);
     let split = route_splits::in_force(route);
     state.pool.await_callers(service, &split, until_ms, wait_ms);
     state.pool.is_listed_until(service, until_ms)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -42,6 +42,7 @@
 mod stream_origins;
 mod suspect_parts;
 mod suspect_requests;
+mod time_left;
 mod version_notes;
 
 pub use allowance_share::AllowanceShare;
@@ -92,4 +93,5 @@
 };
 pub use suspect_parts::{Crash, CrashId, PartEvidence, QuarantinedParts, SuspectParts};
 pub use suspect_requests::{Fingerprint, SuspectRequests};
+pub use time_left::time_left_ms;
 pub use version_notes::{Listed, VersionNotes, Versions};
