--- a/crates/routing/src/version_notes.rs
+++ b/crates/routing/src/version_notes.rs
@@ -100,8 +100,8 @@
     }
 
     /// Returns the lists that the store should have and does not, given what is in use or was lately. What was
-    /// seen in a list and is in neither is kept unless `may_forget`, since an instance that has just started
-    /// cannot tell, and as long as callers may take up streams of it.
+    /// seen in a list and is in neither is kept while callers may take up streams of it. Without `may_forget` it is
+    /// kept in any case: an instance that has just started cannot tell what was in use.
     pub fn changes(&self, in_use: &Versions, may_forget: bool, store_ms: u64) -> Versions {
         let Some(stored) = &self.stored else {
             return Versions::new();
