--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -147,12 +147,12 @@
 
 fn entry(kind: Kind, address: &str, version: &str, born: u64) -> String {
     let (service, stage) = match kind {
-        Kind::Plain => ("agenda-cuadrillas", ""),
-        Kind::Prefill => ("redactor-lm", ",\"stage\":\"prefill\""),
-        Kind::Decode => ("redactor-lm", ",\"stage\":\"decode\""),
+        Kind::Plain => ("zvuk-library", ""),
+        Kind::Prefill => ("mir-models", ",\"stage\":\"prefill\""),
+        Kind::Decode => ("mir-models", ",\"stage\":\"decode\""),
     };
     format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"azuay-norte\",\"version\":\"{version}\",\
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"split-a\",\"version\":\"{version}\",\
          \"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1,\"born\":{born}{stage}}}"
     )
 }
