--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -9,30 +9,13 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Answer, call};
-use crate::json::Json;
 use crate::store::Store;
 
 pub const HOST: &str = "ficu95.example";
 
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-/// Signals by their numbers on Linux.
-#[derive(Clone, Copy, Debug)]
-#[allow(dead_code)]
-pub enum Signal {
-    Hup = 1,
-    Kill = 9,
-    Term = 15,
-    Cont = 18,
-    Stop = 19,
-}
-
 pub struct Instance {
     pub name: String,
     pub callers: String,
-    pub directory: String,
     pub readiness: String,
     folder: PathBuf,
     child: Option<Child>,
@@ -75,7 +58,6 @@
         let mut instance = Self {
             name: name.into(),
             callers,
-            directory,
             readiness,
             folder,
             child: None,
@@ -98,13 +80,6 @@
         self.child = Some(child);
     }
 
-    pub fn signal(&self, signal: Signal) {
-        if let Some(child) = &self.child {
-            // SAFETY: the process is a child that has not been waited for.
-            unsafe { kill(child.id() as i32, signal as i32) };
-        }
-    }
-
     pub fn end(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -127,14 +102,6 @@
         }
         false
     }
-
-    /// Returns the addresses that the instance names to clients.
-    pub fn resolve(&self) -> Vec<String> {
-        let path = format!("/jacinthlever/resolve?name={HOST}&region=hr-jadran&zone=split-a");
-        let answer = call(&self.directory, "GET", &path, &[], b"", Duration::from_secs(1));
-        let body = Json::parse(&String::from_utf8_lossy(&answer.body)).unwrap_or(Json::Null);
-        body.get("addresses").list().iter().map(|a| a.text().to_string()).collect()
-    }
 }
 
 impl Drop for Instance {
@@ -152,48 +119,24 @@
     pub path: &'a str,
     pub key: &'a str,
     pub deadline_ms: u64,
-    /// Attempt that brought the first event, and the last event, of a stream that is taken up.
-    pub resumes: Option<(&'a str, u64)>,
 }
 
 impl Attempt<'_> {
     pub fn send(&self, address: &str) -> Answer {
-        let mut headers = vec![
+        let headers = [
             ("Host", HOST.to_string()),
             ("Request-Id", self.id.to_string()),
             ("Deadline-Ms", self.deadline_ms.to_string()),
             ("Api-Key", self.key.to_string()),
         ];
-        if self.path.starts_with("/session-notes/") {
-            headers.push(("Model", "m".into()));
-            headers.push(("Token-Counts", "1460,80".into()));
-            headers.push(("Prompt-Prefix", format!("5c1e07a2:200,{:x}:1260", fnv(self.id))));
-        }
-        if let Some((first, last)) = self.resumes {
-            headers.push(("Resumes", first.to_string()));
-            headers.push(("Last-Event-Id", last.to_string()));
-        }
         let within = Duration::from_millis(self.deadline_ms);
-        call(address, "POST", self.path, &headers, b"{}", within)
+        let body = format!("{{\"note\":\"{}\"}}", self.id);
+        call(address, "POST", self.path, &headers, body.as_bytes(), within)
     }
 }
 
-fn fnv(text: &str) -> u32 {
-    text.bytes().fold(0x811c_9dc5, |hash, b| (hash ^ u32::from(b)).wrapping_mul(0x0100_0193))
-}
-
-/// Returns a configuration of the operator: streams at `/session-notes/`, unsafe requests at `/member-ledger/`, safe ones at
-/// `/catalogue-read/`; each key belongs to the tenant of the same number.
+/// Returns a configuration of the operator: unsafe requests at `/member-ledger/`; each key belongs to the tenant of the same number.
 pub fn config(version: u64, keys: &[&str]) -> String {
-    let route = |name: &str, kind: &str, service: &str, timeout: u64, target: u64, attempts: u64| {
-        format!(
-            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"/{name}/\",\"kind\":\"{kind}\",\
-             \"timeoutMs\":{timeout},\"targetLatencyMs\":{target},\"priority\":1,\"service\":\"{service}\",\
-             \"maxAttempts\":{attempts},\"public\":false,\"sticky\":{},\"resumable\":{},\"gapAimMs\":300}}",
-            kind == "stream",
-            kind == "stream"
-        )
-    };
     let tenants: Vec<String> = keys
         .iter()
         .enumerate()
@@ -205,15 +148,12 @@
         })
         .collect();
     format!(
-        "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[\
-         {{\"name\":\"zvuk-library\",\"healthPath\":\"/health\",\"maxConnections\":96}},\
-         {{\"name\":\"mir-models\",\"healthPath\":\"/health\",\"maxConnections\":360,\"engine\":{{\"slots\":64,\
-         \"kvTokens\":35118,\"stride\":15,\"kvHoldS\":0.5,\"stageSwitchS\":6.0,\"holdMs\":2000.0}}}}],\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"member-ledger\",\"host\":\"{HOST}\",\
+         \"pathPrefix\":\"/member-ledger/\",\"kind\":\"unsafe\",\"timeoutMs\":2000,\"targetLatencyMs\":300,\"priority\":1,\
+         \"service\":\"zvuk-library\",\"maxAttempts\":1,\"public\":false,\"sticky\":false,\"resumable\":false,\
+         \"gapAimMs\":300}}],\"services\":[{{\"name\":\"zvuk-library\",\"healthPath\":\"/health\",\"maxConnections\":96}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
          \"idleTimeoutMs\":15000}},\"tenants\":[{}]}}",
-        route("session-notes", "stream", "mir-models", 14000, 900, 2),
-        route("member-ledger", "unsafe", "zvuk-library", 2000, 300, 1),
-        route("catalogue-read", "safe", "zvuk-library", 2000, 300, 2),
         tenants.join(",")
     )
 }
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -121,8 +120,7 @@
     pub fn request(&mut self) -> io::Result<Request> {
         let (first, headers) = self.head()?;
         let mut words = first.split(' ');
-        let method = words.next().unwrap_or("").to_string();
-        let path = words.next().unwrap_or("").to_string();
+        let path = words.nth(1).unwrap_or("").to_string();
         let mut body = Vec::new();
         if header(&headers, "transfer-encoding").is_some() {
             while let Some(piece) = self.chunk()? {
@@ -132,7 +130,6 @@
             body = self.take(length.parse().unwrap_or(0))?;
         }
         Ok(Request {
-            method,
             path,
             headers,
             body,
@@ -150,37 +147,6 @@
         bytes.extend_from_slice(body);
         self.stream.write_all(&bytes)
     }
-
-    /// Sends the head of an answer in chunks.
-    pub fn begin(&mut self, status: u16, headers: &[(&str, String)]) -> io::Result<()> {
-        let mut text = format!("HTTP/1.1 {status} X\r\nTransfer-Encoding: chunked\r\n");
-        for (name, value) in headers {
-            text += &format!("{name}: {value}\r\n");
-        }
-        self.stream.write_all((text + "\r\n").as_bytes())
-    }
-
-    /// Sends a chunk; an empty one ends the body.
-    pub fn send_chunk(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let mut piece = format!("{:x}\r\n", bytes.len()).into_bytes();
-        piece.extend_from_slice(bytes);
-        piece.extend_from_slice(b"\r\n");
-        self.stream.write_all(&piece)
-    }
-
-    /// Whether the other side has closed the connection.
-    pub fn is_closed(&self) -> bool {
-        let mut byte = [0];
-        if self.stream.set_nonblocking(true).is_err() {
-            return true;
-        }
-        let peeked = self.stream.peek(&mut byte);
-        let _ = self.stream.set_nonblocking(false);
-        match peeked {
-            Ok(n) => n == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        }
-    }
 }
 
 /// A listener whose connections can all be cut off.
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,14 +1,13 @@
-//! Stand-ins and scripts of the third review: `drill CASE` plays a case and exits with 1 if the rule was broken, 0 if it
+//! Stand-ins and scripts of the third review: `drill CASE RECORD` plays a case and exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run.
 
+mod cases;
 mod fleet;
 mod http;
 mod json;
 mod store;
 mod worker;
 
-mod cases;
-
 use std::fs::File;
 use std::io::Write;
 use std::process::exit;
@@ -51,9 +50,7 @@
     };
     record.line(&format!("case {case}, trouble: {has_trouble}"));
     let outcome = match case.as_str() {
-        "versions" => cases::versions(&record, has_trouble),
         "removed" => cases::removed(&record, has_trouble),
-        "revoked" => cases::revoked(&record, has_trouble),
         _ => Outcome::NotRun(format!("no case {case:?}")),
     };
     let (text, code) = match outcome {
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -1,5 +1,4 @@
-//! Stand-in of the platform's store: rows in tables, conditional transactions, a feed of changes, outages, and the
-//! return from a copy.
+//! Stand-in of the platform's store: rows in tables, conditional transactions, and a feed of changes.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -15,7 +14,7 @@
 
 type Key = (String, String);
 
-#[derive(Clone, Default)]
+#[derive(Default)]
 struct Rows {
     version: u64,
     /// Value (base64; `None` if removed) and version of each row.
@@ -24,9 +23,7 @@
 
 #[derive(Default)]
 struct State {
-    era: u64,
     now: Rows,
-    is_away: bool,
     /// Versions that were given out lately, and when.
     given: VecDeque<(u64, Instant)>,
     /// Newest version whose change is no longer in the history.
@@ -60,9 +57,6 @@
     shared: Arc<Shared>,
 }
 
-/// A copy of all rows.
-pub struct Copy(Rows);
-
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("store");
@@ -77,9 +71,9 @@
         Self { address, shared }
     }
 
-    /// Writes a row; `false` if the store is away.
-    pub fn put(&self, table: &str, key: &str, value: &str) -> bool {
-        self.write(table, key, Some(base64(value.as_bytes())))
+    /// Writes a row.
+    pub fn put(&self, table: &str, key: &str, value: &str) {
+        self.write(table, key, Some(base64(value.as_bytes())));
     }
 
     /// Writes a row unless it has the value already.
@@ -95,41 +89,16 @@
         }
     }
 
-    /// Removes a row; `false` if the store is away.
-    pub fn remove(&self, table: &str, key: &str) -> bool {
-        self.write(table, key, None)
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
     }
 
-    fn write(&self, table: &str, key: &str, value: Option<String>) -> bool {
+    fn write(&self, table: &str, key: &str, value: Option<String>) {
         let mut state = self.shared.state.lock().unwrap();
-        if state.is_away {
-            return false;
-        }
         state.now.write(table, key, value);
         state.keep_history();
         self.shared.changed.notify_all();
-        true
-    }
-
-    /// Refuses all calls (503) from now on, or serves them again.
-    pub fn set_away(&self, is_away: bool) {
-        self.shared.state.lock().unwrap().is_away = is_away;
-        self.shared.changed.notify_all();
-    }
-
-    pub fn copy(&self) -> Copy {
-        Copy(self.shared.state.lock().unwrap().now.clone())
-    }
-
-    /// Comes back from a copy: what was written since is gone, and versions are given out again.
-    pub fn restore(&self, copy: &Copy) {
-        let mut state = self.shared.state.lock().unwrap();
-        state.era += 1;
-        state.now = copy.0.clone();
-        state.given.clear();
-        state.forgotten = state.now.version;
-        state.is_away = false;
-        self.shared.changed.notify_all();
     }
 }
 
@@ -178,9 +147,7 @@
 fn serve(shared: &Shared, request: &Request, conn: &mut Conn) -> io::Result<()> {
     let now_ms = || shared.started.elapsed().as_millis() + 1000;
     let mut state = shared.state.lock().unwrap();
-    let (status, body) = if state.is_away {
-        (503, "{}".to_string())
-    } else if request.path.starts_with("/jacinthlever/rows-tx") {
+    let (status, body) = if request.path.starts_with("/jacinthlever/rows-tx") {
         let body = Json::parse(&String::from_utf8_lossy(&request.body));
         match state.now.transact(&body.unwrap_or(Json::Null)) {
             Some(version) => {
@@ -204,9 +171,6 @@
         let wait_ms: u64 = request.query("waitMs").parse().unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait_ms);
         loop {
-            if state.is_away {
-                break (503, "{}".to_string());
-            }
             state.keep_history();
             if after > state.now.version || after < state.forgotten {
                 break (410, "{}".to_string());
@@ -225,11 +189,10 @@
     } else {
         (404, "{}".to_string())
     };
-    let era = state.era;
     drop(state);
     // An answer takes about 4 ms.
     std::thread::sleep(Duration::from_millis(3));
-    let headers = [("Store-Era", era.to_string()), ("Content-Type", "application/json".into())];
+    let headers = [("Store-Era", "0".to_string()), ("Content-Type", "application/json".into())];
     conn.answer(status, &headers, body.as_bytes())
 }
 
