--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 use std::collections::BTreeSet;
+use std::env;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -23,11 +24,13 @@
     Duration::from_millis(ms)
 }
 
-/// Registrations of workers are removed while the two machines of a zone that watch the store start again.
+/// Registrations of workers are removed while the two machines of a zone that watch the store start again, after a kill or, with
+/// `PLANNED=1`, after a SIGTERM.
 pub fn removed(record: &Record, has_trouble: bool) -> Outcome {
     const ROUNDS: usize = 3;
     /// Time for which a worker that leaves goes on serving.
     const LINGER: Duration = Duration::from_millis(5500);
+    let is_planned = env::var("PLANNED").is_ok_and(|value| value == "1");
     let store = Store::start();
     let floor = Floor::default();
     store.put("op", "config", &config(7, &["key-0"]));
@@ -74,7 +77,14 @@
     let mut gone: Vec<(String, Instant)> = Vec::new();
     for round in 1..=ROUNDS {
         thread::sleep(ms(2500));
-        if has_trouble {
+        if has_trouble && is_planned {
+            record.line("front-split-a-1 and -2 get SIGTERM");
+            instances[0].terminate();
+            instances[1].terminate();
+            instances[0].wait();
+            instances[1].wait();
+            record.line("both have stopped");
+        } else if has_trouble {
             record.line("the processes of front-split-a-1 and -2 are killed");
             instances[0].end();
             instances[1].end();
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -13,6 +13,12 @@
 
 pub const HOST: &str = "ficu95.example";
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+const SIGTERM: i32 = 15;
+
 pub struct Instance {
     pub name: String,
     pub callers: String,
@@ -80,6 +86,22 @@
         self.child = Some(child);
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            // SAFETY: the process is a child that has not been waited for.
+            unsafe { kill(child.id() as i32, SIGTERM) };
+        }
+    }
+
+    /// Waits until the process has stopped by itself.
+    pub fn wait(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.wait();
+        }
+    }
+
+    /// Kills the process.
     pub fn end(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
