--- a/review/standins-3/streams/main.rs
+++ b/review/standins-3/streams/main.rs
@@ -159,9 +159,9 @@
     until(ENDS_AT);
     is_over.store(true, Ordering::SeqCst);
     let seen = clients.join().expect("the clients");
-    let began_before = seen.iter().filter(|s| s.first.went_on && s.first.at < back).count();
-    let whole = seen.iter().filter(|s| s.is_whole && s.first.at < back).count();
-    record.say(&format!("{whole} of {began_before} streams that began before {back:.1} s reached their clients whole"));
+    let before: Vec<_> = seen.iter().filter(|s| s.first.went_on && s.first.at < back).collect();
+    let whole = before.iter().filter(|s| s.is_whole).count();
+    record.say(&format!("{whole} of {} streams that began before {back:.1} s reached their clients whole", before.len()));
     let joined = seen.iter().filter(|s| s.versions.len() > 1).count();
     record.say(&format!("{joined} of {} streams hold events of two versions", seen.len()));
     i32::from(is_broken(record, &seen, back + STABLE_WINDOW))
